Spend a cold budget in whole lookups of random phase that lapse when unused

Cause: with 219 directors each purse let one lookup through at once, and a purse above nothing stayed open for ever, so that all together sent a fresh cache 4.4 times what it bore. Now a purse starts a random phase below nothing, and what was not used within a part of the span is lost by whole lookups. It also covers restarts in groups and releases. It could harm where a node warms slowly: rights come seldom there.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -597,9 +597,13 @@
 
     // ---- cold budgets ----
 
-    /** This director's part of what a cold node of one tier bears, spent evenly over time. */
+    /**
+     * This director's part of what a cold node of one tier bears. However small, it still lets whole lookups
+     * through, seldom: each waits a random phase, so that directors do not start together, and what is not
+     * used within a part of the span is lost by whole lookups, so that rights not used do not add up either.
+     */
     private final class ColdBudgets {
-        private static final double MARGIN = 0.5, SAVED = 0.15, LATELY_MS = 5000;
+        private static final double MARGIN = 0.5, SAVED = 0.3, LATELY_MS = 5000;
         private final ColdStart terms;
         private final int directors;
         private double known;
@@ -611,7 +615,7 @@
 
         void startsAt(Node n, double at) {
             n.startedAt = at;
-            n.purse = 0;
+            n.purse = -chance.nextDouble() * Arrays.stream(meanMs).max().getAsDouble();
             n.purseAt = now;
         }
 
@@ -624,8 +628,10 @@
             double warmth = Math.max(0, now - n.startedAt) / terms.warmMs();
             double share = terms.floor() + (1 - terms.floor()) * warmth;
             double flows = MARGIN * terms.breaksAt() * share * link(n);
-            n.purse = Math.min(SAVED * flows * terms.spanMs(), n.purse + flows * (now - n.purseAt));
+            n.purse += flows * (now - n.purseAt);
             n.purseAt = now;
+            double most = SAVED * flows * terms.spanMs(), whole = Arrays.stream(meanMs).max().getAsDouble();
+            if (n.purse > most && whole > 0) n.purse -= whole * Math.ceil((n.purse - most) / whole);
             return n.purse > 0;
         }
 
