Count the others on a link as many as this director's own average

Cause: each director took its fixed part of a link (1/11 of a cache, nothing known of a parent shared by 219) as all it may use, so one answer out bounced the next large lookup although the link had room, or sent it to another cache, where the object was fetched again (an object changed its cache in 31% of cases). Now one estimate for caches, parents and the place's link: the link's size as a whole, own answers out, and for each other director as many as this one has out on the average of 5 s; paces learn the link as a whole. It could harm where one director's traffic is unlike its neighbours'.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -11,6 +11,7 @@
 public final class Decide implements Director {
     private static final long TUNE = 0, FOLLOW_AGAIN = 1;
     private static final int ANY = 0, HEALTHY = 1, IN_TIME = 2;
+    private static final double TWICE = 2;
 
     private final SplittableRandom chance;
     private final Workload[] workloads;
@@ -22,7 +23,7 @@
     private final Health health = new Health();
     private final Purges purges;
     private final ColdBudgets coldCaches, coldParents;
-    private final Room room;
+    private final Link fills;                      // the link in of this place
     private final Behind behind = new Behind();
     private final Further further = new Further();
     private final Gate gate = new Gate();
@@ -31,6 +32,7 @@
     private double now;
     private DecisionWriter out;
     private final int directorsHere;
+    private double missShare = 0.4;
 
     public Decide(long seed, Workload[] workloads, Places places, Allowances may, Knowledge told,
                   ColdStart caches, ColdStart parents, double purgeTakesMs) {
@@ -44,7 +46,7 @@
         this.fillsBad = new double[workloads.length];
         this.purges = new Purges(purgeTakesMs);
         this.directorsHere = Math.max(1, places.directorsAt()[places.own()]);
-        this.room = new Room();
+        this.fills = new Link(directorsHere, told.linkFlows() > 0 ? told.linkFlows() : Double.NaN);
         this.coldCaches = new ColdBudgets(caches, directorsHere);
         this.coldParents = new ColdBudgets(parents, Math.max(1, places.directors()));
     }
@@ -96,41 +98,46 @@
         if (l.passing && may.straightToSource()) node = placement.first(Node.ORIGIN, l, false, HEALTHY);
         if (node == null) node = placement.first(Node.CACHE, l, false, HEALTHY);
         // Down the ranking past a cache that would be late, as past one that fails: slow, stalled, crowded.
-        if (node != null && !room.inTime(l, node)) {
-            node = room.fillInTime(l) ? placement.first(Node.CACHE, l, false, IN_TIME) : null;
+        if (node != null && !inTime(l, node)) {
+            node = fills.inTime(l) ? placement.first(Node.CACHE, l, false, IN_TIME) : null;
             if (node == null) return false;
         }
         // Guards against an outage that looks total: a wrongly set aside cache still beats no answer.
         if (node == null && l.hopCount == 0) node = placement.first(Node.CACHE, l, false, ANY);
         // Straight hops share the place's link with the fills, and crowd it when all caches are gone.
-        boolean straight = node == null && may.straightToSource() && room.fillInTime(l);
+        boolean straight = node == null && may.straightToSource() && fills.inTime(l);
         if (straight) node = placement.first(Node.PARENT, l, false, HEALTHY);
         if (straight && node == null) node = placement.first(Node.ORIGIN, l, false, HEALTHY);
         if (node == null) return false;
         Node source = node;
-        boolean fill = l.passing || node.tier != Node.CACHE || !l.originFailed && room.fillInTime(l);
+        boolean fill = l.passing || node.tier != Node.CACHE || !l.originFailed && fills.inTime(l);
         if (node.tier != Node.ORIGIN && fill) {
             boolean byParent = node.tier == Node.CACHE && !l.passing;
             Node from = byParent ? placement.first(Node.PARENT, l, true, HEALTHY) : null;
-            if (from != null && !room.inTime(l, from)) {
-                from = room.better(from, placement.first(Node.PARENT, l, true, IN_TIME));
-            }
+            boolean late = from != null && !inTime(l, from);
+            Node other = late ? placement.first(Node.PARENT, l, true, IN_TIME) : null;
+            // A late source is left only for one known to be twice as good; if all are slow, the hash stays.
+            if (other != null && other.link.pace() > TWICE * from.link.pace()) from = other;
             if (from == null && behind.permits()) from = placement.first(Node.ORIGIN, l, true, HEALTHY);
             if (from != null) source = from;
         }
         return gate.send(l, node, source, l.expires);
     }
 
+    private static boolean inTime(Lookup l, Node n) {
+        return n.tier == Node.ORIGIN || n.link.inTime(l);
+    }
+
     @Override public void hopEnded(int index, int hop, int node, int outcome, boolean last, int note,
                                    double spent, double sourceWait, double[] report) {
         Lookup l = lookups[index];
         Hop h = l == null || hop >= l.hopCount ? null : l.hops[hop];
         if (h == null || h.ended) return;
         h.ended = true;
-        h.node.out--;
-        if (h.source != h.node) h.source.out--;
+        h.node.link.add(-1);
+        if (h.source != h.node) h.source.link.add(-1);
         l.out--;
-        room.fillsOut -= h.fill;
+        fills.add(-h.fill);
         if (report != null) h.node.hitShare = report[HIT_SHARE];
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
         if (unasked && h.source != h.node) coldOf(h.source).refund(h.source, h.sourceCharge);
@@ -152,11 +159,12 @@
             if (!l.passing && hop == 0 && h.node.tier == Node.CACHE && note != 0) {
                 boolean hit = note == HIT || note == PAST_FRESH;
                 admission.answered(hit);
-                room.missShare += 0.02 * ((hit ? 0 : 1) - room.missShare);
+                missShare += 0.02 * ((hit ? 0 : 1) - missShare);
             }
             if (!l.sized) learnMean(l.workload, spent);
-            if (note == HIT) h.node.flows = room.learn(h.node.flows, l, spent, h.node.out + 1);
-            if (filled || h.node.tier != Node.CACHE) room.filled(h, l, note, spent, sourceWait);
+            if (note == HIT) h.node.link.learn(l, spent);
+            if (note == FILLED) h.source.link.learn(l, spent);
+            if (filled || h.node.tier != Node.CACHE) fills.learn(l, spent - sourceWait);
             further.handled();
         } else {
             h.neverRan = outcome == FULL || outcome == UNREACHED || outcome == NOT_SENT || outcome == MISS;
@@ -237,7 +245,11 @@
         n.cell = cell;
         n.standing = standing;
         n.units = units > 0 ? units : 1;
-        if (told.unitsAreLinks() && n.tier == Node.CACHE && !(n.flows > 0)) n.flows = n.units / directorsHere;
+        if (n.link == null) {
+            boolean isCache = n.tier == Node.CACHE;
+            n.link = new Link(isCache ? directorsHere : Math.max(1, places.directors()),
+                isCache && told.unitsAreLinks() ? n.units : Double.NaN);
+        }
         n.named = true;
         // Guards against a fresh start that bears no time: whatever comes back counts as cold.
         double since = startedAt != 0 ? startedAt : back ? now : n.startedAt;
@@ -284,11 +296,11 @@
         long hash;
         double units, startedAt;
         boolean named;                   // in the full list being read
-        int failuresInRow, out;
+        int failuresInRow;
         double asideUntil;
         double purse, purseAt;           // cold budget left, ms of sending
         double carried, carriedAt;       // own work lately put on it, as flows
-        double flows = Double.NaN;       // answers it sends at full pace to us at a time, as learned
+        Link link;
         double hitShare = Double.NaN;
     }
 
@@ -451,7 +463,7 @@
             for (Node n : nodes) {
                 if (n == null || n.tier != tier || tier == Node.CACHE && n.place != places.own()) continue;
                 if (tried(l, n, asSource) || care >= HEALTHY && !health.usable(n)) continue;
-                if (care == IN_TIME && !room.inTime(l, n)) continue;
+                if (care == IN_TIME && !inTime(l, n)) continue;
                 if (!(asSource ? gate.mayFillFrom(n) : gate.mayReach(l, n))) continue;
                 double s = score(n, l.key);
                 if (s > top) {
@@ -486,7 +498,7 @@
         private static final double ASIDE_MS = 2000, ASIDE_RANDOM_MS = 1000;
 
         boolean usable(Node n) {
-            return n.failuresInRow < LIMIT || now >= n.asideUntil && n.out == 0;
+            return n.failuresInRow < LIMIT || now >= n.asideUntil && n.link.out == 0;
         }
 
         void good(Node n) {
@@ -504,54 +516,49 @@
     // ---- room ----
 
     /**
-     * Whether a cache can still answer by the target time, from the hops out there and the pace at which
-     * it answers hits. Guards against a jam in which every answer comes late: more load than the links
-     * carry, but also a node that is slow, stalls or is crowded by others. Large lookups go first, since
-     * they need the pace longest. It could harm where a few noisy answers make a node look small; every
-     * hit at full pace takes that back.
+     * One link: this director's answers out on it, those of the others that send there, who are taken to
+     * have each as many as this one on the average, and how many it sends at full pace at a time. Whether
+     * one more can still be answered by the target time follows from these. Guards against a jam in which
+     * every answer comes late: more load than the link carries, but also a node that is slow, stalls or is
+     * crowded by others. Large lookups go first, since they need the pace longest. It could harm where a
+     * few noisy answers make a link look small; every answer at full pace takes that back.
      */
-    private final class Room {
-        private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, TWICE = 2;
-        private double fillFlows = told.linkFlows() > 0 ? told.linkFlows() / directorsHere : Double.NaN;
-        private double fillsOut, missShare = 0.4;
+    private final class Link {
+        private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000;
+        private final int others;
+        private double flows, out, usual, at;          // flows: NaN while neither told nor seen to be slow
 
-        boolean inTime(Lookup l, Node n) {
-            if (n.tier == Node.ORIGIN || Double.isNaN(n.flows)) return true;
-            return n.out < 1 || l.ownMs / Math.min(1, pace(n)) <= MARGIN * (l.aim - now);
+        Link(int directors, double flows) {
+            this.others = directors - 1;
+            this.flows = flows;
         }
 
-        /** A late source is left only for one known to be twice as good; if all are slow, the hash stays. */
-        Node better(Node late, Node other) {
-            return other != null && pace(other) > TWICE * pace(late) ? other : late;
+        void add(double by) {
+            all();
+            out += by;
         }
 
-        private double pace(Node n) {
-            return n.flows / (n.out + 1);
+        private double all() {
+            usual += (out - usual) * -Math.expm1((at - now) / LATELY_MS);
+            at = now;
+            return out + others * usual;
         }
 
-        /**
-         * The same for the link that all fills of this place share. A lookup that could not be filled by
-         * its target is asked of the cache without a source: a copy still answers, a miss is bounced.
-         */
-        boolean fillInTime(Lookup l) {
-            if (Double.isNaN(fillFlows) || fillsOut < 1) return true;
-            double pace = Math.min(1, fillFlows / (fillsOut + 1));
-            return l.ownMs / pace <= MARGIN * (l.aim - now);
+        double pace() {
+            return flows / (all() + 1);
         }
 
-
-        void filled(Hop h, Lookup l, int note, double spent, double sourceWait) {
-            if (note == FILLED) h.source.flows = learn(h.source.flows, l, spent, h.source.out + 1);
-            fillFlows = learn(fillFlows, l, spent - sourceWait, fillsOut + 1);
+        boolean inTime(Lookup l) {
+            return Double.isNaN(flows) || out < 1 || l.ownMs / Math.min(1, pace()) <= MARGIN * (l.aim - now);
         }
 
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
-        double learn(double flows, Lookup l, double spent, double meanwhile) {
-            double share = Math.min(1, l.ownMs / Math.max(1, spent));
+        void learn(Lookup l, double spent) {
+            double share = Math.min(1, l.ownMs / Math.max(1, spent)), meanwhile = all() + 1;
             double weight = LEARN * l.ownMs / (l.ownMs + SHORT_MS);
-            if (Double.isNaN(flows)) return share < SLOWED ? share * meanwhile : flows;
+            if (Double.isNaN(flows) && share < SLOWED) flows = share * meanwhile;
             double seen = share < SLOWED ? share * meanwhile : Math.max(flows, meanwhile);
-            return flows + weight * (seen - flows);
+            flows += weight * (seen - flows);
         }
     }
 
@@ -731,12 +738,12 @@
             h.node = n;
             h.source = source;
             h.sentAt = now;
-            room.fillsOut += h.fill = n.tier != Node.CACHE ? 1 : source != n ? room.missShare : 0;
+            fills.add(h.fill = n.tier != Node.CACHE ? 1 : source != n ? missShare : 0);
             coldOf(n).charge(n, work);
             if (source != n) h.sourceCharge = coldOf(source).charge(source, work);
             l.out++;
-            n.out++;
-            if (source != n) source.out++;
+            n.link.add(1);
+            if (source != n) source.link.add(1);
             h.heldOnly = source != n && source.tier == Node.PARENT && !behind.permits();
             double bound = purges.bound(l), fresh = l.w.freshMs();
             // Guards against sources that fail or lag: a copy past its fresh time is taken where it earns
