Weigh the coin's chance by the lookups of all directors of a place

Cause: a cache is asked by all directors of its place, up to 11, but each took the chance that the coin has come up at all from its own part of the lookups, so that all seemed rare and nearly all was kept.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -37,8 +37,7 @@
     public Decide(long seed, Workload[] workloads, Places places, Allowances may, Knowledge told,
                   ColdStart caches, ColdStart parents, double purgeTakesMs) {
         this.chance = new SplittableRandom(seed);
-        this.admission = new Admission(chance.split());
-        this.workloads = workloads;
+                this.workloads = workloads;
         this.places = places;
         this.may = may;
         this.told = told;
@@ -46,6 +45,7 @@
         this.fillsBad = new double[workloads.length];
         this.purges = new Purges(purgeTakesMs);
         this.directorsHere = Math.max(1, places.directorsAt()[places.own()]);
+        this.admission = new Admission(chance.split(), directorsHere);
         this.fills = new Link(directorsHere, told.linkFlows() > 0 ? told.linkFlows() : Double.NaN);
         this.coldCaches = new ColdBudgets(caches, directorsHere);
         this.coldParents = new ColdBudgets(parents, Math.max(1, places.directors()));
@@ -323,12 +323,15 @@
         double c = Double.POSITIVE_INFINITY, k;
         private double hits, answers, bytes;
         private final SplittableRandom coin;
+        private final int directors;
         private final double[] size = new double[BOUND], rate = new double[BOUND], pass = new double[BOUND],
             came = new double[BOUND];
         private int n;
 
-        Admission(SplittableRandom coin) {
+        /** The caches here are asked by so many directors, each of which sees its part of every rate. */
+        Admission(SplittableRandom coin, int directors) {
             this.coin = coin;
+            this.directors = directors;
         }
 
         void note(long key, double sizeKb) {
@@ -406,7 +409,7 @@
         void passes(double forC) {
             for (int i = 0; i < n; i++) {
                 pass[i] = Math.exp(-size[i] / forC);
-                came[i] = -Math.expm1(-rate[i] / SMOOTHING * pass[i]);
+                came[i] = -Math.expm1(-directors * rate[i] / SMOOTHING * pass[i]);
             }
         }
 
--- a/src/test/java/mothcross/ModelTest.java
+++ b/src/test/java/mothcross/ModelTest.java
@@ -21,7 +21,7 @@
     }
 
     @Test public void solverReachesK() {
-        Decide.Admission a = new Decide.Admission(new SplittableRandom(1));
+        Decide.Admission a = new Decide.Admission(new SplittableRandom(1), 1);
         for (int round = 0; round < 3; round++) {
             for (int key = 0; key < 200; key++) for (int i = 0; i <= 200 / (key + 1); i++) a.note(key, 100 + key);
             a.tune(0.5);
@@ -46,7 +46,7 @@
     }
 
     @Test public void smallIsAdmittedMoreOftenThanLarge() {
-        Decide.Admission a = new Decide.Admission(new SplittableRandom(1));
+        Decide.Admission a = new Decide.Admission(new SplittableRandom(1), 1);
         assertTrue(a.admits(1e9), "all is kept until the first round");
         for (int round = 0; round < 4; round++) {
             for (int key = 0; key < 400; key++) for (int i = 0; i < 4; i++) a.note(key, key % 2 == 0 ? 10 : 1000);
