--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -568,15 +568,15 @@
     /**
      * The share of fills that may be fetched from the origin; the rest take only what a parent holds.
      * Guards against driving an origin that is slow, sheds or has stopped deeper down: each failure of a
-     * fill cuts the share, each lookup since restores some, so that a director that sees few lookups a second
-     * weighs them no less. It could harm where fills fail for a reason nearer by.
+     * fill cuts the share, calm time restores it. It could harm where fills fail for a reason nearer by.
      */
     private final class Behind {
-        private static final double CUT = 0.6, CUT_EVERY_MS = 100, GROWS = Math.pow(2, 1 / 25.0), LEAST = 0.02;
-        private double share = 1, cutAt = Double.NEGATIVE_INFINITY;
+        private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02;
+        private double share = 1, at, cutAt = Double.NEGATIVE_INFINITY;
 
         boolean permits() {
-            share = Math.min(1, share * GROWS);
+            share = Math.min(1, share * Math.pow(2, (now - at) / DOUBLES_MS));
+            at = now;
             return share >= 1 || chance.nextDouble() < share;
         }
 
