--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -190,10 +190,9 @@
         l.originFailed |= note == ORIGIN_FAILED;
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
         h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
-        if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, note == SOURCE_LOST && outcome == FULL);
+        if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
         if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && bySource) behind.failed();
-        boolean gone = outcome == UNREACHED || outcome == BROKEN;
-        if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, gone);
+        if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
     }
 
     @Override public void streamBegan(int index, int hop) {
@@ -509,15 +508,11 @@
             n.failuresInRow = 0;
         }
 
-        /**
-         * A node that could not be reached needs no row: a director that sees it asked once in seconds would
-         * go on for as long. Guards too against a restart the list has not told yet: it returns cold.
-         */
-        void bad(Node n, boolean gone) {
-            n.failuresInRow += gone ? LIMIT : 1;
-            if (n.failuresInRow < LIMIT) return;
+        void bad(Node n, int outcome) {
+            if (++n.failuresInRow < LIMIT) return;
             n.asideUntil = now + ASIDE_MS + ASIDE_RANDOM_MS * chance.nextDouble();
-            if (gone && n.tier != Node.ORIGIN) coldOf(n).startsAt(n, now);
+            // Guards against a restart the list has not told yet: what could not be reached returns cold.
+            if (outcome == UNREACHED && n.tier != Node.ORIGIN) coldOf(n).startsAt(n, now);
         }
     }
 
