Keep all while what was purged or a fresh cache refills

A lookup that a purge bounds, and one that goes to a cache still cold, is now kept whatever its size. It also covers releases and restarts of many. It could harm where one-time objects come during the refill.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -759,8 +759,11 @@
             int how = may.joinFills() ? DecisionWriter.JOIN : 0;
             if (fresh > 0 && source != n && !coldOf(source).isCold(source)) how |= DecisionWriter.RENEW;
             if (h.heldOnly) how |= DecisionWriter.SOURCE_HOLDS_ONLY;
+            // Guards against a slow refill after a purge or a start: c is tuned for a full cache.
+            boolean refill = bound < Double.POSITIVE_INFINITY || coldOf(n).isCold(n);
+            int rank = refill && !l.passing ? Admission.MIDDLE_RANK : l.rank;
             if (n.tier == Node.ORIGIN) out.look(l.index, n.index, until);     // it holds all, always fresh
-            else out.fetch(l.index, n.index, until, source.index, l.rank, usual ? 0 : oldest, how);
+            else out.fetch(l.index, n.index, until, source.index, rank, usual ? 0 : oldest, how);
             return true;
         }
 
