--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -370,7 +370,7 @@
             if (!Double.isNaN(share)) {
                 passes(c);
                 double seen = content(pushdown(share, false));
-                k = Math.min(total, Math.max(0.9 * k, Math.sqrt(k * Math.max(seen, least))));
+                k = Math.min(total, Math.sqrt(k * Math.max(seen, least)));
             }
             hits *= 0.5;
             answers *= 0.5;
