Count an unexplained failure of a fill from the origin against the origin's share

Cause: where outcomes tell only hits, fills sent straight to a slow origin never cut the share, so that 200 to 400 went there in 5 s beside the parents.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -191,7 +191,7 @@
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
         h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
-        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && bySource) behind.failed();
+        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.failed();
         if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
     }
 
