Ask parents that are all set aside for what they hold

Cause: with a slow origin every parent is set aside where failures are not explained, and half of all lookups then went out without any source (2,500 in 5 s), though the parents' copies were well. Now the first parent is asked for what it holds; such an answer does not clear the parent, the trials go out whole as before. It also covers parents that shed. It could harm where the parents themselves are slow: such a look takes their time.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -119,6 +119,8 @@
             // A late source is left only for one known to be twice as good; if all are slow, the hash stays.
             if (other != null && other.link.pace() > TWICE * from.link.pace()) from = other;
             if (from == null && behind.permits()) from = placement.first(Node.ORIGIN, l, true, HEALTHY);
+            // Guards against an origin that seems to take all parents with it: they still give what they hold.
+            if (from == null && byParent) from = placement.first(Node.PARENT, l, true, ANY);
             if (from != null) source = from;
         }
         return gate.send(l, node, source, l.expires);
@@ -153,7 +155,7 @@
             boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
             if (dragged && told.originFalls()) behind.failed();
             if (filled) {
-                health.good(h.source);
+                if (!h.heldOnly) health.good(h.source);
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
             }
             if (!l.passing && hop == 0 && h.node.tier == Node.CACHE && note != 0) {
@@ -741,13 +743,14 @@
             h.node = n;
             h.source = source;
             h.sentAt = now;
+            h.heldOnly = source != n && source.tier == Node.PARENT
+                && !(health.usable(source) && behind.permits());
             fills.add(h.fill = n.tier != Node.CACHE ? 1 : source != n ? missShare : 0);
             coldOf(n).charge(n, work);
             if (source != n) h.sourceCharge = coldOf(source).charge(source, work);
             l.out++;
             n.link.add(1);
             if (source != n) source.link.add(1);
-            h.heldOnly = source != n && source.tier == Node.PARENT && !behind.permits();
             double bound = purges.bound(l), fresh = l.w.freshMs();
             // Guards against sources that fail or lag: a copy past its fresh time is taken where it earns
             // more than a fill does lately, or where there will be none.
