Let what was learned of a link's pace fade with time

Cause: the estimate moved a tenth an answer, so a director that gets an answer from a cache each second went on for 10 to 20 s with the pace of a jam that was over, and passed over caches and bounced fills in vain. An answer now weighs at least as much as 3 s of fading leave to it.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -529,9 +529,10 @@
      * few noisy answers make a link look small; every answer at full pace takes that back.
      */
     private final class Link {
-        private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000;
+        private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
+            FADES_MS = 3000;
         private final int others;
-        private double flows, out, usual, at;          // flows: NaN while neither told nor seen to be slow
+        private double flows, out, usual, at, learnedAt;          // flows: NaN while neither told nor seen to be slow
 
         Link(int directors, double flows) {
             this.others = directors - 1;
@@ -560,7 +561,8 @@
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
         void learn(Lookup l, double spent) {
             double share = Math.min(1, l.ownMs / Math.max(1, spent)), meanwhile = all() + 1;
-            double weight = LEARN * l.ownMs / (l.ownMs + SHORT_MS);
+            double weight = Math.max(LEARN, -Math.expm1((learnedAt - now) / FADES_MS)) * l.ownMs / (l.ownMs + SHORT_MS);
+            learnedAt = now;
             if (Double.isNaN(flows) && share < SLOWED) flows = share * meanwhile;
             double seen = share < SLOWED ? share * meanwhile : Math.max(flows, meanwhile);
             flows += weight * (seen - flows);
