--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -530,7 +530,7 @@
      */
     private final class Link {
         private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
-            FADES_MS = 3000, ROOM = 1.5;
+            FADES_MS = 3000;
         private final int others;
         private double flows, out, usual, at, learnedAt;          // flows: NaN while neither told nor seen to be slow
 
@@ -564,7 +564,7 @@
             double weight = Math.max(LEARN, -Math.expm1((learnedAt - now) / FADES_MS)) * l.ownMs / (l.ownMs + SHORT_MS);
             learnedAt = now;
             if (Double.isNaN(flows) && share < SLOWED) flows = share * meanwhile;
-            double seen = share < SLOWED ? share * meanwhile : Math.max(flows, ROOM * meanwhile);
+            double seen = share < SLOWED ? share * meanwhile : Math.max(flows, meanwhile);
             flows += weight * (seen - flows);
         }
     }
