Learn an untold link from own work over how busy the node was, and keep it through restarts

Cause: where links are not told, a cold node's budget came from what warm nodes of its place answered at that moment; when all caches of a place restart together none is warm, and the budget was nothing for 18 s (800 of 2,000 lookups bounced in 5 s). Each node now keeps what it bore while warm: this director's answers over the share of it in use, as reported. It also covers restarted groups elsewhere. It could harm where a node comes back much smaller than it was.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -119,7 +119,7 @@
             // A late source is left only for one known to be twice as good; if all are slow, the hash stays.
             if (other != null && other.link.pace() > TWICE * from.link.pace()) from = other;
             if (from == null && behind.permits()) from = placement.first(Node.ORIGIN, l, true, HEALTHY);
-            // Guards against an origin that seems to take all parents with it: they still give what they hold.
+            // Guards against an origin that seems to take all parents with it: they give what they hold.
             if (from == null && byParent) from = placement.first(Node.PARENT, l, true, ANY);
             if (from != null) source = from;
         }
@@ -140,7 +140,10 @@
         if (h.source != h.node) h.source.link.add(-1);
         l.out--;
         fills.add(-h.fill);
-        if (report != null) h.node.hitShare = report[HIT_SHARE];
+        if (report != null) {
+            h.node.hitShare = report[HIT_SHARE];
+            if (report[CORES_BUSY] >= 0) h.node.busy += 0.2 * (report[CORES_BUSY] - h.node.busy);
+        }
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
         if (unasked && h.source != h.node) coldOf(h.source).refund(h.source, h.sourceCharge);
         if (h.source != h.node && !unasked) {
@@ -302,6 +305,7 @@
         double asideUntil;
         double purse, purseAt;           // cold budget left, ms of sending
         double carried, carriedAt;       // own work lately put on it, as flows
+        double bears, busy = 1;          // the part of its link that such work shows; share of it in use
         Link link;
         double hitShare = Double.NaN;
     }
@@ -532,7 +536,7 @@
         private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
             FADES_MS = 3000;
         private final int others;
-        private double flows, out, usual, at, learnedAt;          // flows: NaN while neither told nor seen to be slow
+        private double flows, out, usual, at, learnedAt;    // flows: NaN while neither told nor seen slow
 
         Link(int directors, double flows) {
             this.others = directors - 1;
@@ -561,7 +565,8 @@
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
         void learn(Lookup l, double spent) {
             double share = Math.min(1, l.ownMs / Math.max(1, spent)), meanwhile = all() + 1;
-            double weight = Math.max(LEARN, -Math.expm1((learnedAt - now) / FADES_MS)) * l.ownMs / (l.ownMs + SHORT_MS);
+            double weight = Math.max(LEARN, -Math.expm1((learnedAt - now) / FADES_MS));
+            weight *= l.ownMs / (l.ownMs + SHORT_MS);
             learnedAt = now;
             if (Double.isNaN(flows) && share < SLOWED) flows = share * meanwhile;
             double seen = share < SLOWED ? share * meanwhile : Math.max(flows, meanwhile);
@@ -618,9 +623,9 @@
      */
     private final class ColdBudgets {
         private static final double MARGIN = 0.5, SAVED = 0.3, LATELY_MS = 5000;
+        private static final double LEARN = 0.2, LEAST_BUSY = 0.1;
         private final ColdStart terms;
         private final int directors;
-        private double known;
 
         ColdBudgets(ColdStart terms, int directors) {
             this.terms = terms;
@@ -660,21 +665,21 @@
         }
 
         void carried(Node n, double work) {
-            n.carried = lately(n) + work / LATELY_MS;
+            n.carried = n.carried * Math.exp((n.carriedAt - now) / LATELY_MS) + work / LATELY_MS;
             n.carriedAt = now;
+            if (!isCold(n)) n.bears += LEARN * (n.carried / Math.max(LEAST_BUSY, n.busy) - n.bears);
         }
 
-        private double lately(Node n) {
-            return n.carried * Math.exp((n.carriedAt - now) / LATELY_MS);
-        }
-
-        /** This director's part of a link, in flows; where untold, what its like answer (never more). */
+        /**
+         * This director's part of a link, in flows. Where untold, what it answered while warm over how busy
+         * it then was, or for a new node what its like did: known still when all of a place restart at once.
+         */
         private double link(Node n) {
             if (told.unitsAreLinks()) return n.units / directors;
-            known = placement.nodes.stream().filter(x -> x != null && x.tier == n.tier && !isCold(x)
-                && x.standing == IN_SERVICE && (x.place == n.place || n.tier != Node.CACHE))
-                .mapToDouble(this::lately).average().orElse(known);
-            return known;                 // the last that was known while a rolling deploy has left none warm
+            if (n.bears > 0) return n.bears;
+            return placement.nodes.stream().filter(x -> x != null && x.tier == n.tier && x.bears > 0
+                && (x.place == n.place || n.tier != Node.CACHE))
+                .mapToDouble(x -> x.bears).average().orElse(0);
         }
     }
 
