Take a link as free by the estimate for all directors, not by own hops out alone

Cause: an own hop in flight was the only thing that held a large lookup back where a director had none out, and 25 directors of one place always had one each for a cache that sends six answers at a time. A link is free now when the estimate of all, this director's and the others', is under one answer. It could harm where one director alone is busy: it then counts others that are not there.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -559,7 +559,7 @@
         }
 
         boolean inTime(Lookup l) {
-            return Double.isNaN(flows) || out < 1 || l.ownMs / Math.min(1, pace()) <= MARGIN * (l.aim - now);
+            return Double.isNaN(flows) || all() < 1 || l.ownMs / Math.min(1, pace()) <= MARGIN * (l.aim - now);
         }
 
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
