--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -156,7 +156,7 @@
             boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
             // An origin that keeps a fill past its target by itself is about to be driven down.
             boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
-            if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls());
+            if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls(), 8);
             if (filled) {
                 if (!h.heldOnly) health.good(h.source);
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
@@ -196,7 +196,7 @@
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
         h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
-        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(true);
+        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(true, 8);
         if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
     }
 
@@ -585,7 +585,7 @@
         private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY;
 
         boolean permits() {
-            for (Hop h; (h = awaited.peek()) != null && (h.ended || now > h.aim); awaited.poll()) if (!h.ended) told(true);
+            for (Hop h; (h = awaited.peek()) != null && (h.ended || now > h.aim); awaited.poll()) if (!h.ended) told(true, 2);
             return allowed();
         }
         private boolean allowed() {
@@ -595,8 +595,8 @@
         }
 
         /** One failure stands for as many as would have been seen since the last fetch that told of the origin. */
-        void told(boolean failed) {
-            double times = Math.min(CUTS_AT_ONCE, (now - toldAt) / CUT_EVERY_MS);
+        void told(boolean failed, double most) {
+            double times = Math.min(most, (now - toldAt) / CUT_EVERY_MS);
             if (failed && times < 1) return;
             toldAt = now;
             if (!failed) return;
