--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -585,7 +585,7 @@
         private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY;
 
         boolean permits() {
-            for (Hop h; (h = awaited.peek()) != null && (h.ended || now > h.aim); awaited.poll()) if (!h.ended) told(true, 2);
+            for (Hop h; (h = awaited.peek()) != null && (h.ended || now > h.aim); awaited.poll()) if (!h.ended && !(fills.pace() < 1)) told(true, 8);
             return allowed();
         }
         private boolean allowed() {
