--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -154,9 +154,7 @@
             health.good(h.node);
             coldOf(h.node).carried(h.node, meanMs[l.workload]);
             boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
-            // An origin that keeps a fill past its target by itself is about to be driven down.
-            boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
-            if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls(), 8);
+            if (note == FILLED_BY_ORIGIN) behind.waited(sourceWait);
             if (filled) {
                 if (!h.heldOnly) health.good(h.source);
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
@@ -196,7 +194,7 @@
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
         h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
-        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(true, 8);
+        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(true);
         if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
     }
 
@@ -291,7 +289,7 @@
 
     private static final class Hop {
         Node node, source;
-        double sentAt, aim, sourceCharge, fill;      // the last: the chance that it fills
+        double sentAt, sourceCharge, fill;      // the last: the chance that it fills
         boolean ended, neverRan, nodeBlamed, sourceBlamed, heldOnly;
     }
 
@@ -580,27 +578,29 @@
      * fill cuts the share, calm time restores it. It could harm where fills fail for a reason nearer by.
      */
     private final class Behind {
-        private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02, CUTS_AT_ONCE = 8;
-        private final ArrayDeque<Hop> awaited = new ArrayDeque<>();
-        private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY;
+        private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02, CUTS_AT_ONCE = 8, DRAGS = 4;
+        private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY, calmMs = Double.NaN;
 
         boolean permits() {
-            for (Hop h; (h = awaited.peek()) != null && (h.ended || now > h.aim); awaited.poll()) if (!h.ended && !(fills.pace() < 1)) told(true, 8);
-            return allowed();
-        }
-        private boolean allowed() {
             share = Math.min(1, share * Math.pow(2, (now - at) / DOUBLES_MS));
             at = now;
             return share >= 1 || chance.nextDouble() < share;
         }
 
+        /** An origin that lets wait far longer than it did in calm is about to be driven down. */
+        void waited(double ms) {
+            told(told.originFalls() && ms > DRAGS * calmMs);
+            if (!(calmMs < ms)) calmMs = ms;
+            calmMs += 0.05 * (ms - calmMs);
+        }
+
         /** One failure stands for as many as would have been seen since the last fetch that told of the origin. */
-        void told(boolean failed, double most) {
-            double times = Math.min(most, (now - toldAt) / CUT_EVERY_MS);
+        void told(boolean failed) {
+            double times = Math.min(CUTS_AT_ONCE, (now - toldAt) / CUT_EVERY_MS);
             if (failed && times < 1) return;
             toldAt = now;
             if (!failed) return;
-            allowed();
+            permits();
             share = Math.max(LEAST, share * Math.pow(CUT, times));
         }
     }
@@ -766,8 +766,6 @@
             l.out++;
             n.link.add(1);
             if (source != n) source.link.add(1);
-            h.aim = l.aim;
-            if (told.originFalls() && source.tier == Node.PARENT && !h.heldOnly) behind.awaited.add(h);
             double bound = purges.bound(l), fresh = l.w.freshMs();
             // Guards against sources that fail or lag: a copy past its fresh time is taken where it earns
             // more than a fill does lately, or where there will be none.
