--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -154,7 +154,9 @@
             health.good(h.node);
             coldOf(h.node).carried(h.node, meanMs[l.workload]);
             boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
-            if (note == FILLED_BY_ORIGIN) behind.waited(sourceWait);
+            // An origin that keeps a fill past its target by itself is about to be driven down.
+            boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
+            if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls());
             if (filled) {
                 if (!h.heldOnly) health.good(h.source);
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
@@ -557,7 +559,8 @@
         }
 
         boolean inTime(Lookup l) {
-            return Double.isNaN(flows) || all() < 1 || l.ownMs / Math.min(1, pace()) <= MARGIN * (l.aim - now);
+            return Double.isNaN(flows) || all() < 1
+                || l.ownMs / Math.min(1, pace()) <= MARGIN * (l.aim - now);
         }
 
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
@@ -578,8 +581,9 @@
      * fill cuts the share, calm time restores it. It could harm where fills fail for a reason nearer by.
      */
     private final class Behind {
-        private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02, CUTS_AT_ONCE = 8, DRAGS = 4;
-        private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY, calmMs = Double.NaN;
+        private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02;
+        private static final double CUTS_AT_ONCE = 8;
+        private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY;
 
         boolean permits() {
             share = Math.min(1, share * Math.pow(2, (now - at) / DOUBLES_MS));
@@ -587,14 +591,7 @@
             return share >= 1 || chance.nextDouble() < share;
         }
 
-        /** An origin that lets wait far longer than it did in calm is about to be driven down. */
-        void waited(double ms) {
-            told(told.originFalls() && ms > DRAGS * calmMs);
-            if (!(calmMs < ms)) calmMs = ms;
-            calmMs += 0.05 * (ms - calmMs);
-        }
-
-        /** One failure stands for as many as would have been seen since the last fetch that told of the origin. */
+        /** A failure stands for as many as would have been seen since the last that told of the origin. */
         void told(boolean failed) {
             double times = Math.min(CUTS_AT_ONCE, (now - toldAt) / CUT_EVERY_MS);
             if (failed && times < 1) return;
