--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -33,7 +33,6 @@
     private DecisionWriter out;
     private final int directorsHere;
     private double missShare = 0.4;
-    private boolean linkTold;                      // caches report how full the link in of their place is
 
     public Decide(long seed, Workload[] workloads, Places places, Allowances may, Knowledge told,
                   ColdStart caches, ColdStart parents, double purgeTakesMs) {
@@ -143,8 +142,7 @@
         fills.add(-h.fill);
         if (report != null) {
             h.node.hitShare = report[HIT_SHARE];
-            linkTold = h.node.tier == Node.CACHE && report[LINK_FILL] >= 0;
-            if (linkTold) fills.measured(report[LINK_FILL]);
+            if (h.node.tier == Node.CACHE) fills.full = report[LINK_FILL];
             if (report[CORES_BUSY] >= 0) h.node.busy += 0.2 * (report[CORES_BUSY] - h.node.busy);
         }
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
@@ -172,7 +170,7 @@
             if (!l.sized) learnMean(l.workload, spent);
             if (note == HIT) h.node.link.learn(l, spent);
             if (note == FILLED) h.source.link.learn(l, spent);
-            if (!linkTold && (filled || h.node.tier != Node.CACHE)) fills.learn(l, spent - sourceWait);
+            if (filled || h.node.tier != Node.CACHE) fills.learn(l, spent - sourceWait);
             further.handled();
         } else {
             h.neverRan = outcome == FULL || outcome == UNREACHED || outcome == NOT_SENT || outcome == MISS;
@@ -537,9 +535,10 @@
      */
     private final class Link {
         private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
-            FADES_MS = 3000, LEAST_FULL = 0.2, REPORTS = 0.3;
+            FADES_MS = 3000, ROOMY = 0.5;
         private final int others;
         private double flows, out, usual, at, learnedAt;    // flows: NaN while neither told nor seen slow
+        private double full = Double.NaN;                   // as last reported, where it is
 
         Link(int directors, double flows) {
             this.others = directors - 1;
@@ -562,16 +561,10 @@
         }
 
         boolean inTime(Lookup l) {
-            return Double.isNaN(flows) || all() < 1
+            return Double.isNaN(flows) || all() < 1 || full < ROOMY
                 || l.ownMs / Math.min(1, pace()) <= MARGIN * (l.aim - now);
         }
 
-        /** A report of how full the link is counts what all directors have out; an empty one shows room enough. */
-        void measured(double full) {
-            double seen = (all() + 1) / Math.max(LEAST_FULL, full);
-            flows = Double.isNaN(flows) ? seen : flows * Math.pow(seen / flows, REPORTS);
-        }
-
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
         void learn(Lookup l, double spent) {
             double share = Math.min(1, l.ownMs / Math.max(1, spent)), meanwhile = all() + 1;
