--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -142,7 +142,6 @@
         fills.add(-h.fill);
         if (report != null) {
             h.node.hitShare = report[HIT_SHARE];
-            if (h.node.tier == Node.CACHE) fills.full = report[LINK_FILL];
             if (report[CORES_BUSY] >= 0) h.node.busy += 0.2 * (report[CORES_BUSY] - h.node.busy);
         }
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
@@ -535,10 +534,9 @@
      */
     private final class Link {
         private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
-            FADES_MS = 3000, ROOMY = 0.5;
+            FADES_MS = 3000, LAG_MS = 50;
         private final int others;
         private double flows, out, usual, at, learnedAt;    // flows: NaN while neither told nor seen slow
-        private double full = Double.NaN;                   // as last reported, where it is
 
         Link(int directors, double flows) {
             this.others = directors - 1;
@@ -561,13 +559,13 @@
         }
 
         boolean inTime(Lookup l) {
-            return Double.isNaN(flows) || all() < 1 || full < ROOMY
+            return Double.isNaN(flows) || all() < 1
                 || l.ownMs / Math.min(1, pace()) <= MARGIN * (l.aim - now);
         }
 
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
         void learn(Lookup l, double spent) {
-            double share = Math.min(1, l.ownMs / Math.max(1, spent)), meanwhile = all() + 1;
+            double share = Math.min(1, (l.ownMs + LAG_MS) / Math.max(1, spent)), meanwhile = all() + 1;
             double weight = Math.max(LEARN, -Math.expm1((learnedAt - now) / FADES_MS));
             weight *= l.ownMs / (l.ownMs + SHORT_MS);
             learnedAt = now;
