--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -534,7 +534,7 @@
      */
     private final class Link {
         private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
-            FADES_MS = 3000, LAG_MS = 50;
+            FADES_MS = 3000;
         private final int others;
         private double flows, out, usual, at, learnedAt;    // flows: NaN while neither told nor seen slow
 
@@ -565,7 +565,7 @@
 
         /** The share of full pace an answer got, times the answers out meanwhile, is what can be sent. */
         void learn(Lookup l, double spent) {
-            double share = Math.min(1, (l.ownMs + LAG_MS) / Math.max(1, spent)), meanwhile = all() + 1;
+            double share = Math.min(1, l.ownMs / Math.max(1, spent)), meanwhile = all() + 1;
             double weight = Math.max(LEARN, -Math.expm1((learnedAt - now) / FADES_MS));
             weight *= l.ownMs / (l.ownMs + SHORT_MS);
             learnedAt = now;
