--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -11,7 +11,6 @@
 public final class Decide implements Director {
     private static final long TUNE = 0, FOLLOW_AGAIN = 1;
     private static final int ANY = 0, HEALTHY = 1, IN_TIME = 2;
-    private static final double TWICE = 2;
 
     private final SplittableRandom chance;
     private final Workload[] workloads;
@@ -114,10 +113,6 @@
         if (node.tier != Node.ORIGIN && fill) {
             boolean byParent = node.tier == Node.CACHE && !l.passing;
             Node from = byParent ? placement.first(Node.PARENT, l, true, HEALTHY) : null;
-            boolean late = from != null && !inTime(l, from);
-            Node other = late ? placement.first(Node.PARENT, l, true, IN_TIME) : null;
-            // A late source is left only for one known to be twice as good; if all are slow, the hash stays.
-            if (other != null && other.link.pace() > TWICE * from.link.pace()) from = other;
             if (from == null && behind.permits()) from = placement.first(Node.ORIGIN, l, true, HEALTHY);
             // Guards against an origin that seems to take all parents with it: they give what they hold.
             if (from == null && byParent) from = placement.first(Node.PARENT, l, true, ANY);
