--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -11,6 +11,7 @@
 public final class Decide implements Director {
     private static final long TUNE = 0, FOLLOW_AGAIN = 1;
     private static final int ANY = 0, HEALTHY = 1, IN_TIME = 2;
+    private static final double TWICE = 2;
 
     private final SplittableRandom chance;
     private final Workload[] workloads;
@@ -26,7 +27,7 @@
     private final Behind behind = new Behind();
     private final Further further = new Further();
     private final Gate gate = new Gate();
-    private final double[] meanMs, fillsBad;       // by workload: sending time; share of fills late or failed
+    private final double[] meanMs;                 // by workload: sending time
     private Lookup[] lookups = new Lookup[64];     // by index; indices are used again, so it stays small
     private double now;
     private DecisionWriter out;
@@ -41,7 +42,6 @@
         this.may = may;
         this.told = told;
         this.meanMs = new double[workloads.length];
-        this.fillsBad = new double[workloads.length];
         this.purges = new Purges(purgeTakesMs);
         this.directorsHere = Math.max(1, places.directorsAt()[places.own()]);
         this.admission = new Admission(chance.split(), directorsHere);
@@ -113,6 +113,10 @@
         if (node.tier != Node.ORIGIN && fill) {
             boolean byParent = node.tier == Node.CACHE && !l.passing;
             Node from = byParent ? placement.first(Node.PARENT, l, true, HEALTHY) : null;
+            boolean late = from != null && !inTime(l, from);
+            Node other = late ? placement.first(Node.PARENT, l, true, IN_TIME) : null;
+            // A late source is left only for one known to be twice as good; if all are slow, the hash stays.
+            if (other != null && other.link.pace() > TWICE * from.link.pace()) from = other;
             if (from == null && behind.permits()) from = placement.first(Node.ORIGIN, l, true, HEALTHY);
             // Guards against an origin that seems to take all parents with it: they give what they hold.
             if (from == null && byParent) from = placement.first(Node.PARENT, l, true, ANY);
@@ -141,10 +145,6 @@
         }
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
         if (unasked && h.source != h.node) coldOf(h.source).refund(h.source, h.sourceCharge);
-        if (h.source != h.node && !unasked) {
-            double bad = outcome != HANDLED || now > l.aim ? 1 : 0;
-            fillsBad[l.workload] += 0.05 * (bad - fillsBad[l.workload]);
-        }
         if (outcome == HANDLED) {
             health.good(h.node);
             coldOf(h.node).carried(h.node, meanMs[l.workload]);
@@ -761,8 +761,7 @@
             double bound = purges.bound(l), fresh = l.w.freshMs();
             // Guards against sources that fail or lag: a copy past its fresh time is taken where it earns
             // more than a fill does lately, or where there will be none.
-            double filled = 1 - fillsBad[l.workload] * (1 - l.w.lateShare());
-            boolean stale = source == n || h.heldOnly || l.w.staleShare() > filled
+            boolean stale = source == n || h.heldOnly
                 || l.hopCount > 1 && l.hops[l.hopCount - 2].sourceBlamed;
             double oldest = fresh == 0 ? bound : Math.min(bound, fresh + (stale ? l.w.staleMs() : 0));
             boolean usual = oldest == fresh || oldest == Double.POSITIVE_INFINITY;
