--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -27,7 +27,7 @@
     private final Behind behind = new Behind();
     private final Further further = new Further();
     private final Gate gate = new Gate();
-    private final double[] meanMs;                 // by workload: sending time
+    private final double[] meanMs, fillsBad;       // by workload: sending time; share of fills late or failed
     private Lookup[] lookups = new Lookup[64];     // by index; indices are used again, so it stays small
     private double now;
     private DecisionWriter out;
@@ -42,6 +42,7 @@
         this.may = may;
         this.told = told;
         this.meanMs = new double[workloads.length];
+        this.fillsBad = new double[workloads.length];
         this.purges = new Purges(purgeTakesMs);
         this.directorsHere = Math.max(1, places.directorsAt()[places.own()]);
         this.admission = new Admission(chance.split(), directorsHere);
@@ -145,6 +146,10 @@
         }
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
         if (unasked && h.source != h.node) coldOf(h.source).refund(h.source, h.sourceCharge);
+        if (h.source != h.node && !unasked) {
+            double bad = outcome != HANDLED || now > l.aim ? 1 : 0;
+            fillsBad[l.workload] += 0.05 * (bad - fillsBad[l.workload]);
+        }
         if (outcome == HANDLED) {
             health.good(h.node);
             coldOf(h.node).carried(h.node, meanMs[l.workload]);
@@ -577,7 +582,7 @@
      */
     private final class Behind {
         private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02;
-        private static final double CUTS_AT_ONCE = 8;
+        private static final double CUTS_AT_ONCE = 3;
         private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY;
 
         boolean permits() {
@@ -761,7 +766,8 @@
             double bound = purges.bound(l), fresh = l.w.freshMs();
             // Guards against sources that fail or lag: a copy past its fresh time is taken where it earns
             // more than a fill does lately, or where there will be none.
-            boolean stale = source == n || h.heldOnly
+            double filled = 1 - fillsBad[l.workload] * (1 - l.w.lateShare());
+            boolean stale = source == n || h.heldOnly || l.w.staleShare() > filled
                 || l.hopCount > 1 && l.hops[l.hopCount - 2].sourceBlamed;
             double oldest = fresh == 0 ? bound : Math.min(bound, fresh + (stale ? l.w.staleMs() : 0));
             boolean usual = oldest == fresh || oldest == Double.POSITIVE_INFINITY;
