--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -32,7 +32,6 @@
     private double now;
     private DecisionWriter out;
     private final int directorsHere;
-    private double missShare = 0.4;
 
     public Decide(long seed, Workload[] workloads, Places places, Allowances may, Knowledge told,
                   ColdStart caches, ColdStart parents, double purgeTakesMs) {
@@ -139,32 +138,30 @@
         h.node.link.add(-1);
         if (h.source != h.node) h.source.link.add(-1);
         l.out--;
-        fills.add(-h.fill);
+        if (h.fills) fills.add(-1);
         if (report != null) {
             h.node.hitShare = report[HIT_SHARE];
             if (report[CORES_BUSY] >= 0) h.node.busy += 0.2 * (report[CORES_BUSY] - h.node.busy);
         }
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
-        if (unasked && h.source != h.node) coldOf(h.source).refund(h.source, h.sourceCharge);
+        if (unasked) h.source.purse += h.sourceCharge;
         if (h.source != h.node && !unasked) {
             double bad = outcome != HANDLED || now > l.aim ? 1 : 0;
             fillsBad[l.workload] += 0.05 * (bad - fillsBad[l.workload]);
         }
         if (outcome == HANDLED) {
-            health.good(h.node);
+            h.node.failuresInRow = 0;
             coldOf(h.node).carried(h.node, meanMs[l.workload]);
             boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
             // An origin that keeps a fill past its target by itself is about to be driven down.
             boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
             if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls());
             if (filled) {
-                if (!h.heldOnly) health.good(h.source);
+                if (!h.heldOnly) h.source.failuresInRow = 0;
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
             }
             if (!l.passing && hop == 0 && h.node.tier == Node.CACHE && note != 0) {
-                boolean hit = note == HIT || note == PAST_FRESH;
-                admission.answered(hit);
-                missShare += 0.02 * ((hit ? 0 : 1) - missShare);
+                admission.answered(note == HIT || note == PAST_FRESH);
             }
             if (!l.sized) learnMean(l.workload, spent);
             if (note == HIT) h.node.link.learn(l, spent);
@@ -291,8 +288,8 @@
 
     private static final class Hop {
         Node node, source;
-        double sentAt, sourceCharge, fill;      // the last: the chance that it fills
-        boolean ended, neverRan, nodeBlamed, sourceBlamed, heldOnly;
+        double sentAt, sourceCharge;
+        boolean ended, fills, neverRan, nodeBlamed, sourceBlamed, heldOnly;
     }
 
     private static final class Node {
@@ -510,10 +507,6 @@
             return n.failuresInRow < LIMIT || now >= n.asideUntil && n.link.out == 0;
         }
 
-        void good(Node n) {
-            n.failuresInRow = 0;
-        }
-
         void bad(Node n, int outcome) {
             if (++n.failuresInRow < LIMIT) return;
             n.asideUntil = now + ASIDE_MS + ASIDE_RANDOM_MS * chance.nextDouble();
@@ -665,10 +658,6 @@
             return work;
         }
 
-        void refund(Node n, double work) {
-            n.purse += work;
-        }
-
         void carried(Node n, double work) {
             n.carried = n.carried * Math.exp((n.carriedAt - now) / LATELY_MS) + work / LATELY_MS;
             n.carriedAt = now;
@@ -757,7 +746,8 @@
             h.sentAt = now;
             h.heldOnly = source != n && source.tier == Node.PARENT
                 && !(health.usable(source) && behind.permits());
-            fills.add(h.fill = n.tier != Node.CACHE ? 1 : source != n ? missShare : 0);
+            h.fills = n.tier != Node.CACHE || source != n;
+            if (h.fills) fills.add(1);
             coldOf(n).charge(n, work);
             if (source != n) h.sourceCharge = coldOf(source).charge(source, work);
             l.out++;
