--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -11,7 +11,6 @@
 public final class Decide implements Director {
     private static final long TUNE = 0, FOLLOW_AGAIN = 1;
     private static final int ANY = 0, HEALTHY = 1, IN_TIME = 2;
-    private static final double TWICE = 2;
 
     private final SplittableRandom chance;
     private final Workload[] workloads;
@@ -31,7 +30,6 @@
     private Lookup[] lookups = new Lookup[64];     // by index; indices are used again, so it stays small
     private double now;
     private DecisionWriter out;
-    private final int directorsHere;
 
     public Decide(long seed, Workload[] workloads, Places places, Allowances may, Knowledge told,
                   ColdStart caches, ColdStart parents, double purgeTakesMs) {
@@ -43,7 +41,7 @@
         this.meanMs = new double[workloads.length];
         this.fillsBad = new double[workloads.length];
         this.purges = new Purges(purgeTakesMs);
-        this.directorsHere = Math.max(1, places.directorsAt()[places.own()]);
+        int directorsHere = Math.max(1, places.directorsAt()[places.own()]);
         this.admission = new Admission(chance.split(), directorsHere);
         this.fills = new Link(directorsHere, told.linkFlows() > 0 ? told.linkFlows() : Double.NaN);
         this.coldCaches = new ColdBudgets(caches, directorsHere);
@@ -81,8 +79,9 @@
         l.passing = w.neverKept() || write;
         if (l.sized) learnMean(workload, l.ownMs);
         if (!l.passing) {
-            admission.note(l.key, sizeKb);
-            l.rank = admission.admits(sizeKb) ? Admission.MIDDLE_RANK : 0;
+            double kb = sizeKb > 0 ? sizeKb : 1;       // where untold, c and K are in objects
+            admission.note(l.key, kb);
+            l.rank = admission.admits(kb) ? Admission.MIDDLE_RANK : 0;
         }
         if (!hop(l)) gate.finish(l);
     }
@@ -97,7 +96,7 @@
         if (l.passing && may.straightToSource()) node = placement.first(Node.ORIGIN, l, false, HEALTHY);
         if (node == null) node = placement.first(Node.CACHE, l, false, HEALTHY);
         // Down the ranking past a cache that would be late, as past one that fails: slow, stalled, crowded.
-        if (node != null && !inTime(l, node)) {
+        if (node != null && node.tier == Node.CACHE && !node.link.inTime(l)) {
             node = fills.inTime(l) ? placement.first(Node.CACHE, l, false, IN_TIME) : null;
             if (node == null) return false;
         }
@@ -113,10 +112,10 @@
         if (node.tier != Node.ORIGIN && fill) {
             boolean byParent = node.tier == Node.CACHE && !l.passing;
             Node from = byParent ? placement.first(Node.PARENT, l, true, HEALTHY) : null;
-            boolean late = from != null && !inTime(l, from);
+            boolean late = from != null && !from.link.inTime(l);
             Node other = late ? placement.first(Node.PARENT, l, true, IN_TIME) : null;
             // A late source is left only for one known to be twice as good; if all are slow, the hash stays.
-            if (other != null && other.link.pace() > TWICE * from.link.pace()) from = other;
+            if (other != null && other.link.pace() > 2 * from.link.pace()) from = other;
             if (from == null && behind.permits()) from = placement.first(Node.ORIGIN, l, true, HEALTHY);
             // Guards against an origin that seems to take all parents with it: they give what they hold.
             if (from == null && byParent) from = placement.first(Node.PARENT, l, true, ANY);
@@ -125,10 +124,6 @@
         return gate.send(l, node, source, l.expires);
     }
 
-    private static boolean inTime(Lookup l, Node n) {
-        return n.tier == Node.ORIGIN || n.link.inTime(l);
-    }
-
     @Override public void hopEnded(int index, int hop, int node, int outcome, boolean last, int note,
                                    double spent, double sourceWait, double[] report) {
         Lookup l = lookups[index];
@@ -236,22 +231,21 @@
         while (placement.nodes.size() <= index) placement.nodes.add(null);
         Node n = placement.nodes.get(index);
         boolean back = n == null ? !placement.first : n.standing == GONE && standing == IN_SERVICE;
+        double size = units > 0 ? units : 1;
         if (n == null) {
             placement.nodes.set(index, n = new Node());
             n.index = index;
             for (int i = 0; i < address.length(); i++) n.hash = mix(n.hash * 31 + address.charAt(i));
+            boolean isParent = kind == places.parentKind(), isOrigin = kind == places.originKind();
+            n.tier = isParent ? Node.PARENT : isOrigin ? Node.ORIGIN : Node.CACHE;
+            n.place = place;
+            n.cell = cell;
+            boolean told = n.tier == Node.CACHE && this.told.unitsAreLinks();
+            n.link = new Link(coldOf(n).directors, told ? size : Double.NaN);
+            if (n.tier != Node.CACHE || place == places.own()) placement.ranked.get(n.tier).add(n);
         }
-        n.tier = kind == places.parentKind() ? Node.PARENT
-            : kind == places.originKind() ? Node.ORIGIN : Node.CACHE;
-        n.place = place;
-        n.cell = cell;
         n.standing = standing;
-        n.units = units > 0 ? units : 1;
-        if (n.link == null) {
-            boolean isCache = n.tier == Node.CACHE;
-            n.link = new Link(isCache ? directorsHere : Math.max(1, places.directors()),
-                isCache && told.unitsAreLinks() ? n.units : Double.NaN);
-        }
+        n.units = size;
         n.named = true;
         // Guards against a fresh start that bears no time: whatever comes back counts as cold.
         double since = startedAt != 0 ? startedAt : back ? now : n.startedAt;
@@ -294,12 +288,10 @@
 
     private static final class Node {
         static final int CACHE = 0, PARENT = 1, ORIGIN = 2;
-        int index, tier, place, cell, standing;
+        int index, tier, place, cell, standing, failuresInRow;
         long hash;
-        double units, startedAt;
+        double units, startedAt, asideUntil;
         boolean named;                   // in the full list being read
-        int failuresInRow;
-        double asideUntil;
         double purse, purseAt;           // cold budget left, ms of sending
         double carried, carriedAt;       // own work lately put on it, as flows
         double bears, busy = 1;          // the part of its link that such work shows; share of it in use
@@ -307,8 +299,6 @@
         double hitShare = Double.NaN;
     }
 
-    // ---- admission: AdaptSize ----
-
     /** The coin e^(-size/c), the table behind it, and the tuning of c and K by the Markov model. */
     static final class Admission {
         static final int MIDDLE_RANK = 2;
@@ -338,18 +328,18 @@
         }
 
         void note(long key, double sizeKb) {
-            bytes += unit(sizeKb);
+            bytes += sizeKb;
             Item i = table.get(key);
             if (i == null) {
                 if (table.size() >= BOUND) return;
                 table.put(key, i = new Item());
             }
-            i.size = unit(sizeKb);
+            i.size = sizeKb;
             i.seen++;
         }
 
         boolean admits(double sizeKb) {
-            return coin.nextDouble() < Math.exp(-unit(sizeKb) / c);
+            return coin.nextDouble() < Math.exp(-sizeKb / c);
         }
 
         void answered(boolean hit) {
@@ -357,11 +347,6 @@
             if (hit) hits++;
         }
 
-        /** An untold size counts as one, so that c and K are then in objects. */
-        private static double unit(double sizeKb) {
-            return sizeKb > 0 ? sizeKb : 1;
-        }
-
         void tune(double reported) {
             smooth();
             if (n == 0) return;
@@ -448,34 +433,31 @@
         }
     }
 
-    // ---- placement: the shared object hash ----
-
     /** The nodes told of, and the ranking of each tier for an object. */
     private final class Placement {
         // One entry for each node ever listed; the caller's index is never given to another node.
         private final List<Node> nodes = new ArrayList<>();
+        // By tier what lookups are ranked over: caches elsewhere, the bulk of a fleet, are not among them.
+        private final List<List<Node>> ranked = List.of(new ArrayList<>(), new ArrayList<>(),
+            new ArrayList<>());
         private boolean whole, first = true;
 
-        /** Rendezvous on address and object, by size of the node; all directors find the same order. */
-        private double score(Node n, long key) {
-            double u = ((mix(n.hash ^ mix(key)) >>> 11) + 0.5) * 0x1p-53;
-            return -n.units / Math.log(u);
-        }
-
-        /** The first of a tier that the gate lets through, untried, and with as much care as asked. */
+        /**
+         * The first of a tier that the gate lets through, untried, and with as much care as asked: rendezvous
+         * on address and object, by size of the node, so that all directors find the same order.
+         */
         Node first(int tier, Lookup l, boolean asSource, int care) {
             Node best = null;
             double top = -1;
-            for (Node n : nodes) {
-                if (n == null || n.tier != tier || tier == Node.CACHE && n.place != places.own()) continue;
+            long hashed = mix(l.key);
+            for (Node n : ranked.get(tier)) {
                 if (tried(l, n, asSource) || care >= HEALTHY && !health.usable(n)) continue;
-                if (care == IN_TIME && !inTime(l, n)) continue;
+                if (care == IN_TIME && !n.link.inTime(l)) continue;
                 if (!(asSource ? gate.mayFillFrom(n) : gate.mayReach(l, n))) continue;
-                double s = score(n, l.key);
-                if (s > top) {
-                    top = s;
-                    best = n;
-                }
+                double u = ((mix(n.hash ^ hashed) >>> 11) + 0.5) * 0x1p-53, score = -n.units / Math.log(u);
+                if (score <= top) continue;
+                top = score;
+                best = n;
             }
             return best;
         }
@@ -491,13 +473,11 @@
         }
 
         double reportedHitShare() {
-            return nodes.stream().filter(n -> n != null && n.tier == Node.CACHE && !Double.isNaN(n.hitShare))
+            return ranked.get(Node.CACHE).stream().filter(n -> !Double.isNaN(n.hitShare))
                 .mapToDouble(n -> n.hitShare).average().orElse(Double.NaN);
         }
     }
 
-    // ---- health ----
-
     /** Failures in a row set a node aside for a fixed time and a random part; then one hop tries it. */
     private final class Health {
         private static final int LIMIT = 3;
@@ -515,15 +495,13 @@
         }
     }
 
-    // ---- room ----
-
     /**
-     * One link: this director's answers out on it, those of the others that send there, who are taken to
-     * have each as many as this one on the average, and how many it sends at full pace at a time. Whether
-     * one more can still be answered by the target time follows from these. Guards against a jam in which
-     * every answer comes late: more load than the link carries, but also a node that is slow, stalls or is
-     * crowded by others. Large lookups go first, since they need the pace longest. It could harm where a
-     * few noisy answers make a link look small; every answer at full pace takes that back.
+     * One link: own answers out on it, those of the others that send there, each taken to have as many as
+     * this director on the average, and how many it sends at full pace at a time; from these, whether one
+     * more can be answered by the target time. Guards against a jam in which every answer comes late: more
+     * load than the link carries, but also a node that is slow, stalls or is crowded by others. Large
+     * lookups go first, since they need the pace longest. It could harm where a few noisy answers make a
+     * link look small; every answer at full pace takes that back.
      */
     private final class Link {
         private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
@@ -574,8 +552,7 @@
      * fill cuts the share, calm time restores it. It could harm where fills fail for a reason nearer by.
      */
     private final class Behind {
-        private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02;
-        private static final double CUTS_AT_ONCE = 3;
+        private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02, ONCE = 3;
         private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY;
 
         boolean permits() {
@@ -584,13 +561,13 @@
             return share >= 1 || chance.nextDouble() < share;
         }
 
-        /** A failure stands for as many as would have been seen since the last that told of the origin. */
+        /** A failure stands for as many as would have been seen, at a whole share, since the last. */
         void told(boolean failed) {
-            double times = Math.min(CUTS_AT_ONCE, (now - toldAt) / CUT_EVERY_MS);
-            if (failed && times < 1) return;
+            double gap = (now - toldAt) / CUT_EVERY_MS;
+            if (failed && gap < 1) return;
             toldAt = now;
-            if (!failed) return;
             permits();
+            double times = failed ? Math.min(ONCE, Math.max(1, gap * share)) : 0;
             share = Math.max(LEAST, share * Math.pow(CUT, times));
         }
     }
@@ -606,22 +583,19 @@
 
         boolean affords(boolean neverRan) {
             double price = neverRan ? NEVER_RAN : 1;
-            if (left < price) return false;
-            left -= price;
-            return true;
+            boolean enough = left >= price;
+            if (enough) left -= price;
+            return enough;
         }
     }
 
-    // ---- cold budgets ----
-
     /**
      * This director's part of what a cold node of one tier bears. However small, it still lets whole lookups
      * through, seldom: each waits a random phase, so that directors do not start together, and what is not
      * used within a part of the span is lost by whole lookups, so that rights not used do not add up either.
      */
     private final class ColdBudgets {
-        private static final double MARGIN = 0.5, SAVED = 0.3, LATELY_MS = 5000;
-        private static final double LEARN = 0.2, LEAST_BUSY = 0.1;
+        private static final double MARGIN = 0.5, SAVED = 0.3, LATELY_MS = 5000, LEARN = 0.2, IDLE = 0.1;
         private final ColdStart terms;
         private final int directors;
 
@@ -661,7 +635,7 @@
         void carried(Node n, double work) {
             n.carried = n.carried * Math.exp((n.carriedAt - now) / LATELY_MS) + work / LATELY_MS;
             n.carriedAt = now;
-            if (!isCold(n)) n.bears += LEARN * (n.carried / Math.max(LEAST_BUSY, n.busy) - n.bears);
+            if (!isCold(n)) n.bears += LEARN * (n.carried / Math.max(IDLE, n.busy) - n.bears);
         }
 
         /**
@@ -671,43 +645,35 @@
         private double link(Node n) {
             if (told.unitsAreLinks()) return n.units / directors;
             if (n.bears > 0) return n.bears;
-            return placement.nodes.stream().filter(x -> x != null && x.tier == n.tier && x.bears > 0
-                && (x.place == n.place || n.tier != Node.CACHE))
+            return placement.ranked.get(n.tier).stream().filter(x -> x.bears > 0)
                 .mapToDouble(x -> x.bears).average().orElse(0);
         }
     }
 
-    // ---- purges ----
-
     /** When what was purged, until every cache and parent has dropped it by itself. */
     private final class Purges {
         private static final double MARGIN_MS = 500;
         private final double lastsMs;
-        // Both are cleared of what has run out whenever a purge is heard.
-        private final Map<Long, Double> objects = new HashMap<>();
-        private final Map<Integer, Double> groups = new HashMap<>();
+        // By object, or ~group for all of a group; cleared of what has run out whenever a purge is heard.
+        private final Map<Long, Double> purgedAt = new HashMap<>();
 
         Purges(double takesMs) {
             lastsMs = takesMs + MARGIN_MS;
         }
 
         void heard(long object, int group, double at) {
-            objects.values().removeIf(t -> now - t > lastsMs);
-            groups.values().removeIf(t -> now - t > lastsMs);
-            if (object >= 0) objects.merge(object, at, Math::max);
-            else groups.merge(group, at, Math::max);
+            purgedAt.values().removeIf(t -> now - t > lastsMs);
+            purgedAt.merge(object >= 0 ? object : ~(long) group, at, Math::max);
         }
 
         /** The oldest copy that will do, or infinity. */
         double bound(Lookup l) {
-            double at = Math.max(objects.getOrDefault(l.object, Double.NEGATIVE_INFINITY),
-                groups.getOrDefault(l.group, Double.NEGATIVE_INFINITY));
+            double at = Math.max(purgedAt.getOrDefault(l.object, Double.NEGATIVE_INFINITY),
+                purgedAt.getOrDefault(~(long) l.group, Double.NEGATIVE_INFINITY));
             return now - at > lastsMs ? Double.POSITIVE_INFINITY : Math.max(1, now - at);
         }
     }
 
-    // ---- the gate ----
-
     /** The one place that every send and every final answer passes; it keeps the five rules. */
     private final class Gate {
         /** Rules 1 to 4 for the node itself. */
