--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -595,7 +595,7 @@
      * used within a part of the span is lost by whole lookups, so that rights not used do not add up either.
      */
     private final class ColdBudgets {
-        private static final double MARGIN = 0.5, SAVED = 0.3, LATELY_MS = 5000, LEARN = 0.2, IDLE = 0.1;
+        private static final double MARGIN = 0.6, SAVED = 0.3, LATELY_MS = 5000, LEARN = 0.2, IDLE = 0.1;
         private final ColdStart terms;
         private final int directors;
 
