--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -188,6 +188,7 @@
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
         h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
+        if (h.sourceBlamed && outcome == TIMED_OUT) h.source.link.learn(l, now - h.sentAt);
         if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(true);
         if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
     }
@@ -526,7 +527,7 @@
         }
 
         double pace() {
-            return flows / (all() + 1);
+            return Double.isNaN(flows) ? 1 : flows / (all() + 1);
         }
 
         boolean inTime(Lookup l) {
