A fill that came late does not clear the row of failures of its source

Cause: of the fills through a parent ten times slower some still came, late, and each cleared the row before three had timed out in succession. It could harm where fills are late for the link's sake: a parent is then set aside sooner, after three failures that count against it.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -152,7 +152,7 @@
             boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
             if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls());
             if (filled) {
-                if (!h.heldOnly) h.source.failuresInRow = 0;
+                if (!h.heldOnly && now <= l.aim) h.source.failuresInRow = 0;
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
             }
             if (!l.passing && hop == 0 && h.node.tier == Node.CACHE && note != 0) {
@@ -188,7 +188,6 @@
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
         h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
-        if (h.sourceBlamed && outcome == TIMED_OUT) h.source.link.learn(l, now - h.sentAt);
         if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(true);
         if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
     }
@@ -527,7 +526,7 @@
         }
 
         double pace() {
-            return Double.isNaN(flows) ? 1 : flows / (all() + 1);
+            return flows / (all() + 1);
         }
 
         boolean inTime(Lookup l) {
