--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -153,7 +153,6 @@
             if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls());
             if (filled) {
                 if (!h.heldOnly && now <= l.aim) h.source.failuresInRow = 0;
-                if (note == FILLED && now > l.aim && !(fills.pace() < 1)) health.bad(h.source, outcome);
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
             }
             if (!l.passing && hop == 0 && h.node.tier == Node.CACHE && note != 0) {
