--- a/src/test/java/mothcross/ModelTest.java
+++ b/src/test/java/mothcross/ModelTest.java
@@ -60,4 +60,16 @@
         assertTrue(small > 900, "small " + small);
         assertTrue(large < 600, "large " + large);
     }
+
+    @Test public void moreDirectorsBringTheCoinUpSooner() {
+        double[] content = new double[2];
+        for (int i = 0; i < 2; i++) {
+            Decide.Admission a = new Decide.Admission(new SplittableRandom(1), i == 0 ? 1 : 10);
+            for (int key = 0; key < 50; key++) a.note(key, 1000);
+            a.tune(0.5);
+            a.passes(500);
+            content[i] = a.content(0.01);
+        }
+        assertTrue(content[1] > 2 * content[0], content[0] + " and " + content[1]);
+    }
 }
