Cut the origin's share for fills its wait makes late, also where it cannot stop

One setting fewer. It could harm on short spells, where late fills would have earned their late share.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -148,9 +148,9 @@
             h.node.failuresInRow = 0;
             coldOf(h.node).carried(h.node, meanMs[l.workload]);
             boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
-            // An origin that keeps a fill past its target by itself is about to be driven down.
+            // An origin that keeps a fill past its target by itself is asked for more than it can do.
             boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
-            if (note == FILLED_BY_ORIGIN) behind.told(dragged && told.originFalls());
+            if (note == FILLED_BY_ORIGIN) behind.told(dragged);
             if (filled) {
                 if (!h.heldOnly && now <= l.aim) h.source.failuresInRow = 0;
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
--- a/src/main/java/mothcross/Knowledge.java
+++ b/src/main/java/mothcross/Knowledge.java
@@ -2,7 +2,7 @@
 
 /**
  * What the site tells: node sizes as links, notes on outcomes, news only on request, one flow's pace, and
- * the own place's link in, in such flows (0 where untold), and whether an origin asked for too much stops.
+ * the own place's link in, in such flows (0 where untold).
  */
 public record Knowledge(boolean unitsAreLinks, boolean failuresExplained, boolean listOnRequest,
-                        double flowKbPerMs, double linkFlows, boolean originFalls) { }
+                        double flowKbPerMs, double linkFlows) { }
--- a/src/test/java/mothcross/Stage.java
+++ b/src/test/java/mothcross/Stage.java
@@ -29,7 +29,7 @@
             told.containsKey("never"));
         director = new Decide(7, new Workload[] {w}, new Places(1, new int[] {0, (int) n("here"), 1}, (int) n("directors"), 1, 2),
             new Allowances((int) n("hops"), n("copies") > 0, true, n("straight") > 0, true, 1000),
-            new Knowledge(n("links") > 0, n("explained") > 0, told.containsKey("follow"), 10, 0, told.containsKey("falls")),
+            new Knowledge(n("links") > 0, n("explained") > 0, told.containsKey("follow"), 10, 0),
             new ColdStart(0.2, 10_000, 3, 1000), new ColdStart(0.1, 20_000, 2, 1000), 6000);
     }
 
