--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -161,9 +161,7 @@
             if (!l.sized) learnMean(l.workload, spent);
             if (note == HIT) h.node.link.learn(l, spent);
             if (note == FILLED) h.source.link.learn(l, spent);
-            // With room reported on the link, a late fill was kept by its source.
-            boolean roomy = report != null && report[LINK_FILL] < 0.7;
-            if (filled || h.node.tier != Node.CACHE) fills.learn(l, roomy ? l.ownMs : spent - sourceWait);
+            if (filled || h.node.tier != Node.CACHE) fills.learn(l, spent - sourceWait);
             further.handled();
         } else {
             h.neverRan = outcome == FULL || outcome == UNREACHED || outcome == NOT_SENT || outcome == MISS;
