--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -150,7 +150,7 @@
             boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
             // An origin that keeps a fill past its target by itself is asked for more than it can do.
             boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
-            if (note == FILLED_BY_ORIGIN) behind.told(dragged);
+            if (note == FILLED_BY_ORIGIN) behind.told(dragged ? 1 : 0);
             if (filled) {
                 if (!h.heldOnly && now <= l.aim) h.source.failuresInRow = 0;
                 coldOf(h.source).carried(h.source, meanMs[l.workload]);
@@ -188,7 +188,7 @@
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
         h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
-        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(true);
+        if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(Behind.ONCE);
         if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
     }
 
@@ -561,13 +561,13 @@
             return share >= 1 || chance.nextDouble() < share;
         }
 
-        /** A failure stands for as many as would have been seen, at a whole share, since the last. */
-        void told(boolean failed) {
+        /** What fails or lags stands for as many as would have come, at a whole share, since the last. */
+        void told(double most) {
             double gap = (now - toldAt) / CUT_EVERY_MS;
-            if (failed && gap < 1) return;
+            if (most > 0 && gap < 1) return;
             toldAt = now;
             permits();
-            double times = failed ? Math.min(ONCE, Math.max(1, gap * share)) : 0;
+            double times = Math.min(most, Math.max(1, gap * share));
             share = Math.max(LEAST, share * Math.pow(CUT, times));
         }
     }
