SIGHUP moves the bulletin, greedy clients make room, gone nodes' indices are given anew

Reload: nothing handled SIGHUP. Lost lookup: Desk.admit closed the client longest connected and idle in our eyes once 3/4 of the descriptors were in use (319 of 384 there), also one whose next lookup was in the socket unread. Excluded: a drop for pipelined bytes (it would have shown as dozens), slow readers (none counted). Now refused ones go first, then those that never asked, then those idle longer than clients keep theirs; accepting waits for room; pipelined bytes wait in the socket. Further: who says nothing or half a message has a close or 408 after 2 s; figures out of range, told twice or two lengths that differ are refused; bells leave the heap with what they rang for; a fault of a connection is one piece of evidence about its node, the other hops on it only went down along; an answer that stalls midway ends its connection; an error counts against a node only once the lookup was handled elsewhere, and only what was handled teaches sizes and rates; warnings are bounded between two lines of counters.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -24,7 +24,7 @@
     private final ColdBudgets coldCaches, coldParents;
     private final Link fills;                      // the link in of this place
     private final Behind behind = new Behind();
-    private final Further further = new Further();
+    private final Further further = new Further(), proofs = new Further();
     private final Gate gate = new Gate();
     private final double[] meanMs, fillsBad;       // by workload: sending time; share of fills late or failed
     private Lookup[] lookups = new Lookup[64];     // by index; indices are used again, so it stays small
@@ -77,19 +77,12 @@
         l.aim = Math.min(expires, now + w.targetMs() + w.targetStretch() * l.ownMs);
         l.open = true;
         l.passing = w.neverKept() || write;
-        if (l.sized) learnMean(workload, l.ownMs);
-        if (!l.passing) {
-            double kb = sizeKb > 0 ? sizeKb : 1;       // where untold, c and K are in objects
-            admission.note(l.key, kb);
-            l.rank = admission.admits(kb) ? Admission.MIDDLE_RANK : 0;
-        }
+        if (l.sized && meanMs[workload] == 0) meanMs[workload] = Math.min(l.ownMs, w.abandonMs());
+        l.kb = sizeKb > 0 ? sizeKb : 1;                // where untold, c and K are in objects
+        if (!l.passing && admission.admits(l.kb)) l.rank = Admission.MIDDLE_RANK;
         if (!hop(l)) gate.finish(l);
     }
 
-    private void learnMean(int workload, double ms) {
-        meanMs[workload] += (ms - meanMs[workload]) * (meanMs[workload] == 0 ? 1 : 0.02);
-    }
-
     /** The ordinary path and every further hop: cache and parent by the ranking, then the origin. */
     private boolean hop(Lookup l) {
         Node node = null;
@@ -138,9 +131,13 @@
             h.node.hitShare = report[HIT_SHARE];
             if (report[CORES_BUSY] >= 0) h.node.busy += 0.2 * (report[CORES_BUSY] - h.node.busy);
         }
+        // An error that nothing explains may be the lookup's own: what a client made up, all nodes refuse.
+        h.erred = outcome == ERROR && note == 0 && told.failuresExplained()
+            && l.w.effect() != Workload.Effect.ONCE_ONLY;
+        if (h.erred) l.errors++;
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
         if (unasked) h.source.purse += h.sourceCharge;
-        if (h.source != h.node && !unasked) {
+        if (h.source != h.node && !unasked && !h.erred && note != ALONG) {
             double bad = outcome != HANDLED || now > l.aim ? 1 : 0;
             fillsBad[l.workload] += 0.05 * (bad - fillsBad[l.workload]);
         }
@@ -158,11 +155,17 @@
             if (!l.passing && hop == 0 && h.node.tier == Node.CACHE && note != 0) {
                 admission.answered(note == HIT || note == PAST_FRESH);
             }
-            if (!l.sized) learnMean(l.workload, spent);
+            // Only what was handled teaches: sizes and objects that clients make up never are.
+            double mean = meanMs[l.workload], weight = mean == 0 ? 1 : 0.02;
+            meanMs[l.workload] += weight * ((l.sized ? l.ownMs : spent) - mean);
+            if (!l.passing) admission.note(l.key, l.kb);
+            // Handled, so the lookup was sound: now an error tells against the node that gave it.
+            for (int i = 0; i < l.hopCount; i++) if (l.hops[i].erred) health.bad(l.hops[i].node, ERROR);
             if (note == HIT) h.node.link.learn(l, spent);
             if (note == FILLED) h.source.link.learn(l, spent);
             if (filled || h.node.tier != Node.CACHE) fills.learn(l, spent - sourceWait);
             further.handled();
+            proofs.handled();
         } else {
             h.neverRan = outcome == FULL || outcome == UNREACHED || outcome == NOT_SENT || outcome == MISS;
             blame(l, h, outcome, note);
@@ -173,9 +176,9 @@
         }
         if (!l.open || l.streaming || l.out > 0) return;
         boolean lookedOnly = outcome == MISS && (h.source == h.node || h.heldOnly);
-        boolean hopeless = lookedOnly || l.originFailed && l.w.staleMs() == 0;
-        boolean worthIt = !hopeless && l.expires - now > l.ownMs && further.affords(h.neverRan);
-        if (!(worthIt && hop(l))) gate.finish(l);
+        boolean hopeless = lookedOnly || l.originFailed && l.w.staleMs() == 0 || l.errors > 1;
+        boolean worthIt = !hopeless && l.expires - now > l.ownMs;
+        if (!(worthIt && (h.erred ? proofs : further).affords(h.neverRan) && hop(l))) gate.finish(l);
     }
 
     /** Whose failure was it? What is told decides; where nothing is told, cache and source share it. */
@@ -186,10 +189,11 @@
             || !told.failuresExplained() && (outcome == FULL || outcome == MISS || outcome == ERROR);
         l.originFailed |= note == ORIGIN_FAILED;
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
-        h.nodeBlamed = !bySource && note != ORIGIN_FAILED;
+        h.nodeBlamed = !bySource && note != ORIGIN_FAILED && (note != ALONG || outcome == UNREACHED);
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
         if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(Behind.ONCE);
-        if (h.nodeBlamed && outcome != FULL && outcome != MISS) health.bad(h.node, outcome);
+        boolean evidence = h.nodeBlamed && outcome != FULL && outcome != MISS && note != ALONG && !h.erred;
+        if (evidence) health.bad(h.node, outcome);
     }
 
     @Override public void streamBegan(int index, int hop) {
@@ -230,20 +234,24 @@
                                  double units, double startedAt) {
         while (placement.nodes.size() <= index) placement.nodes.add(null);
         Node n = placement.nodes.get(index);
+        long hash = 0;
+        for (int i = 0; i < address.length(); i++) hash = mix(hash * 31 + address.charAt(i));
+        if (n != null && n.hash != hash) n = null;      // another one's index, which is gone
         boolean back = n == null ? !placement.first : n.standing == GONE && standing == IN_SERVICE;
         double size = units > 0 ? units : 1;
         if (n == null) {
             placement.nodes.set(index, n = new Node());
             n.index = index;
-            for (int i = 0; i < address.length(); i++) n.hash = mix(n.hash * 31 + address.charAt(i));
-            boolean isParent = kind == places.parentKind(), isOrigin = kind == places.originKind();
-            n.tier = isParent ? Node.PARENT : isOrigin ? Node.ORIGIN : Node.CACHE;
+            n.hash = hash;
+            n.tier = kind == places.parentKind() ? Node.PARENT
+                : kind == places.originKind() ? Node.ORIGIN : Node.CACHE;
             n.place = place;
             n.cell = cell;
-            boolean told = n.tier == Node.CACHE && this.told.unitsAreLinks();
-            n.link = new Link(coldOf(n).directors, told ? size : Double.NaN);
-            if (n.tier != Node.CACHE || place == places.own()) placement.ranked.get(n.tier).add(n);
+            boolean known = n.tier == Node.CACHE && told.unitsAreLinks();
+            n.link = new Link(coldOf(n).directors, known ? size : Double.NaN);
         }
+        List<Node> ranked = placement.ranked.get(n.tier);
+        if ((n.tier != Node.CACHE || place == places.own()) && !ranked.contains(n)) ranked.add(n);
         n.standing = standing;
         n.units = size;
         n.named = true;
@@ -257,6 +265,7 @@
 
     @Override public void listEnds() {
         if (placement.whole) for (Node n : placement.nodes) if (n != null && !n.named) n.standing = GONE;
+        for (List<Node> tier : placement.ranked) tier.removeIf(n -> n.standing == GONE);
         placement.whole = placement.first = false;
     }
 
@@ -272,9 +281,9 @@
     }
 
     private static final class Lookup {
-        int index, workload, group, rank, hopCount, out;
+        int index, workload, group, rank, hopCount, out, errors;
         long object, key;
-        double expires, aim, ownMs;
+        double expires, aim, ownMs, kb;
         boolean open, passing, streaming, sized, originFailed;
         Workload w;
         Hop[] hops;
@@ -283,7 +292,7 @@
     private static final class Hop {
         Node node, source;
         double sentAt, sourceCharge;
-        boolean ended, fills, neverRan, nodeBlamed, sourceBlamed, heldOnly;
+        boolean ended, fills, neverRan, nodeBlamed, sourceBlamed, heldOnly, erred;
     }
 
     private static final class Node {
@@ -389,11 +398,7 @@
             }
         }
 
-        /**
-         * The coin for each object, and the chance that it came up within the lookups that the smoothed
-         * rate remembers. The chain's P(in) is for a steady state that takes 1/pass lookups to reach; with
-         * few lookups an object, a small c would starve the cache long before the model's hits came.
-         */
+        /** The coin for each object, and the chance that it has come up at all: P(in) is a steady state's. */
         void passes(double forC) {
             for (int i = 0; i < n; i++) {
                 pass[i] = Math.exp(-size[i] / forC);
@@ -435,17 +440,14 @@
 
     /** The nodes told of, and the ranking of each tier for an object. */
     private final class Placement {
-        // One entry for each node ever listed; the caller's index is never given to another node.
+        // By the caller's index, which may be given anew to another node once this one is gone.
         private final List<Node> nodes = new ArrayList<>();
-        // By tier what lookups are ranked over: caches elsewhere, the bulk of a fleet, are not among them.
+        // By tier what lookups are ranked over: none that is gone, and no cache elsewhere.
         private final List<List<Node>> ranked = List.of(new ArrayList<>(), new ArrayList<>(),
             new ArrayList<>());
         private boolean whole, first = true;
 
-        /**
-         * The first of a tier that the gate lets through, untried, and with as much care as asked: rendezvous
-         * on address and object, by size of the node, so that all directors find the same order.
-         */
+        /** The first that is let through, untried and as sound as asked; one order for all directors. */
         Node first(int tier, Lookup l, boolean asSource, int care) {
             Node best = null;
             double top = -1;
@@ -497,11 +499,9 @@
 
     /**
      * One link: own answers out on it, those of the others that send there, each taken to have as many as
-     * this director on the average, and how many it sends at full pace at a time; from these, whether one
-     * more can be answered by the target time. Guards against a jam in which every answer comes late: more
-     * load than the link carries, but also a node that is slow, stalls or is crowded by others. Large
-     * lookups go first, since they need the pace longest. It could harm where a few noisy answers make a
-     * link look small; every answer at full pace takes that back.
+     * this one has on the average, and how many it sends at full pace at a time; from these, whether one more
+     * can be answered by the target time. Guards against a jam, where every answer comes late: a link, or a
+     * slow or crowded node, with more than it carries. It errs on noise; one answer at full pace mends that.
      */
     private final class Link {
         private static final double MARGIN = 0.7, LEARN = 0.1, SHORT_MS = 100, SLOWED = 0.8, LATELY_MS = 5000,
@@ -547,9 +547,8 @@
     }
 
     /**
-     * The share of fills that may be fetched from the origin; the rest take only what a parent holds.
-     * Guards against driving an origin that is slow, sheds or has stopped deeper down: each failure of a
-     * fill cuts the share, calm time restores it. It could harm where fills fail for a reason nearer by.
+     * The share of fills that may be fetched from the origin; the rest take only what a parent holds. Keeps a
+     * slow or stopped origin from being driven deeper: failures of fills cut the share, calm restores it.
      */
     private final class Behind {
         private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02, ONCE = 3;
@@ -590,14 +589,14 @@
     }
 
     /**
-     * This director's part of what a cold node of one tier bears. However small, it still lets whole lookups
-     * through, seldom: each waits a random phase, so that directors do not start together, and what is not
-     * used within a part of the span is lost by whole lookups, so that rights not used do not add up either.
+     * This director's part of what a cold node bears. However small, it lets whole lookups through, seldom,
+     * after a random phase; what is not used within a part of the span is lost, again by whole lookups.
      */
     private final class ColdBudgets {
         private static final double MARGIN = 0.6, SAVED = 0.3, LATELY_MS = 5000, LEARN = 0.2, IDLE = 0.1;
         private final ColdStart terms;
         private final int directors;
+        private double bore;
 
         ColdBudgets(ColdStart terms, int directors) {
             this.terms = terms;
@@ -635,7 +634,7 @@
         void carried(Node n, double work) {
             n.carried = n.carried * Math.exp((n.carriedAt - now) / LATELY_MS) + work / LATELY_MS;
             n.carriedAt = now;
-            if (!isCold(n)) n.bears += LEARN * (n.carried / Math.max(IDLE, n.busy) - n.bears);
+            if (!isCold(n)) bore = n.bears += LEARN * (n.carried / Math.max(IDLE, n.busy) - n.bears);
         }
 
         /**
@@ -646,7 +645,7 @@
             if (told.unitsAreLinks()) return n.units / directors;
             if (n.bears > 0) return n.bears;
             return placement.ranked.get(n.tier).stream().filter(x -> x.bears > 0)
-                .mapToDouble(x -> x.bears).average().orElse(0);
+                .mapToDouble(x -> x.bears).average().orElse(bore);
         }
     }
 
--- a/src/main/java/mothcross/Director.java
+++ b/src/main/java/mothcross/Director.java
@@ -16,6 +16,9 @@
     int HIT = 1, FILLED = 2, FILLED_BY_ORIGIN = 3, JOINED = 4, PAST_FRESH = 5, SOURCE_REFUSED = 6,
         SOURCE_LOST = 7, SOURCE_LACKS = 8, NO_FILL_PLACE = 9, ORIGIN_FAILED = 10;
 
+    /** It only went down with a connection that something else on it had spoilt. */
+    int ALONG = 11;
+
     /** Places in a load report; what a node did not tell is NaN. */
     int HELD = 0, WAITING = 1, CORES_BUSY = 2, SERVICE_MS = 3, HANDLED_PER_S = 4, FAILED_PER_S = 5,
         HIT_SHARE = 6, LINK_FILL = 7, REPORT_SIZE = 8;
--- a/src/main/java/mothcross/cli/Main.java
+++ b/src/main/java/mothcross/cli/Main.java
@@ -2,12 +2,14 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import mothcross.net.Life;
 import mothcross.net.Start;
 import mothcross.simhost.SimHost;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import sun.misc.Signal;
 
 /** The command line. */
 @Command(name = "mothcross", description = "Decides where objects are served, kept and filled from.",
@@ -68,6 +70,8 @@
                 Life life = new Life(start);
                 Thread end = new Thread(() -> end(life), "end");
                 Runtime.getRuntime().addShutdownHook(end);      // before it serves: SIGTERM may come at once
+                CountDownLatch serves = new CountDownLatch(1);
+                Signal.handle(new Signal("HUP"), s -> reload(life, serves));
                 try {
                     life.begin();
                 } catch (java.io.IOException | Start.Unusable e) {
@@ -75,6 +79,7 @@
                     return plainly(e instanceof Start.Unusable ? e.getMessage()
                         : "can't listen on " + start.listen + ": " + e.getMessage());
                 }
+                serves.countDown();
                 life.await();
                 return 0;
             } catch (Start.Unusable e) {
@@ -82,6 +87,17 @@
             }
         }
 
+        private synchronized void reload(Life life, CountDownLatch serves) {
+            try {
+                serves.await();
+                life.reload(told.read());
+            } catch (Start.Unusable e) {
+                life.reloadFailed(e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         /** The signal's own exit status is not ours: what was taken is answered, then it ends with 0. */
         private static void end(Life life) {
             try {
--- a/src/main/java/mothcross/door/Opening.java
+++ b/src/main/java/mothcross/door/Opening.java
@@ -29,6 +29,8 @@
     /** What one connection to a node may carry, how long making one takes at most, and when idle ones end. */
     public final int streams;
     public final double connectMs, idleMs;
+    /** The pace of one answer's bytes as the settings tell it, or infinite. */
+    public final double flowKbPerMs;
     public final boolean probes;
     public final Director director;
 
@@ -66,6 +68,7 @@
         int[] directorsAt = new int[places.size()];
         for (int i = 0; i < directorsAt.length; i++) directorsAt[i] = (int) part(crew, i, total);
         double flow = l.number("FamilyInfo.OneFlowKbPerS", 0);
+        flowKbPerMs = flow > 0 ? flow / 1000 : Double.POSITIVE_INFINITY;
         double span = l.ms("Rules.TipAfter", 2000);
         director = new Decide(seed, all,
             new Places(own, directorsAt, total, l.small("FamilyInfo.MidKind", -1),
--- a/src/main/java/mothcross/net/Bulletin.java
+++ b/src/main/java/mothcross/net/Bulletin.java
@@ -31,7 +31,7 @@
     private static final int LONGEST_FRAME = 4 << 20, RECORD = 27;
 
     private final Desk desk;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private long last;
     private Feed feed;
     private double waitMs = FIRST_WAIT_MS;
@@ -96,11 +96,23 @@
     // ---- following it ----
 
     void follow() {
-        if (stopped) return;
+        if (stopped || feed != null) return;
         feed = new Feed();
         feed.connect();
     }
 
+    /** Told of another address: the old one tells nothing more, the numbers go on. */
+    void move(InetSocketAddress to) {
+        if (to.equals(address) || stopped) return;
+        LOG.info("bulletin: moved from {} to {} at event {}", address, to, last);
+        address = to;
+        waitMs = FIRST_WAIT_MS;
+        Feed old = feed;
+        feed = null;                                    // so that its end is no reason to connect again
+        if (old != null) old.leave();
+        follow();
+    }
+
     void stop() {
         stopped = true;
         if (feed != null) feed.drop();
@@ -108,7 +120,9 @@
 
     private void again(String why) {
         if (stopped) return;
-        LOG.info("bulletin: {}; connecting again from event {} in {} ms", why, last, (long) waitMs);
+        if (desk.count.mayWarn()) {
+            LOG.info("bulletin: {}; connecting again from event {} in {} ms", why, last, (long) waitMs);
+        }
         feed = null;
         desk.bells.set(new Bells.Bell() {
             @Override void ring() {
@@ -156,6 +170,11 @@
             return up ? SILENCE_MS : desk.opening.connectMs;
         }
 
+        void leave() {
+            connecting.cancel();
+            drop();
+        }
+
         private void end(String why) {
             if (feed != this) return;
             drop();
@@ -247,7 +266,7 @@
 
         private boolean malformed(String what) {
             desk.count.badFrame++;
-            LOG.warn("bulletin sent what is no frame ({})", what);
+            if (desk.count.mayWarn()) LOG.warn("bulletin sent what is no frame ({})", what);
             end("can't be used");
             return false;
         }
--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -13,28 +13,57 @@
  */
 final class ClientConnection extends Connection {
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
-    private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, LINGER_MS = 500;
+    private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, MOST_PASSED_OVER = 256 << 10;
+    // A first message is to be whole so long after connecting, a later one after its first byte; clients are
+    // owed a word within 3 s. Usual ones keep an idle connection for 4 s, so one that is idle longer is left over.
+    private static final double WHOLE_MS = 2000, IDLE_MS = 5000, LEFT_OVER_MS = 4100, LINGER_MS = 500;
+    private static final int NOTHING = 0, REST = 1, NEXT = 2;     // what it awaits of its client
+    /** What a connection is worth keeping where descriptors run short, see {@link Desk#admit}. */
+    static final int REFUSED = 0, UNPROVEN = 1, LEFT_OVER = 2, NEW = 3, IN_USE = 4;
     private static final String PATH = "/api/v2/", PART = "piece-", HEALTHY = "/-/healthy";
+    private static final int LAST_GROUP = 255;
+    // Nobody waits for ten times the time in which a workload is abandoned, nor could so many bytes come in it.
+    private static final double BEYOND = 10;
 
     private Lookup lookup;
-    private boolean close, ending;
-    private int scanned;
+    private boolean close, ending, proven, suspended;
+    private int scanned, passedOver, awaits;
+    private double idleSince;
     // The head just read, as places in the bytes; -1 where absent.
     private int target, targetEnd, known, knownEnd, id, idEnd;
     private double wait, sizeKb;
     private long bodyLength, group;
     private boolean repeat, usable;
+    private int seen;
+
+    /** The one time that the connection waits for while no lookup is open on it. */
+    private final Bells.Bell patience = new Bells.Bell() {
+        @Override void ring() {
+            if (lookup != null) return;
+            if (ending || left() == 0) {
+                if (!ending) desk.count.idle++;
+                drop();
+            } else {
+                desk.count.slowHead++;
+                refuseHead("408 Request Timeout");
+            }
+        }
+    };
 
     ClientConnection(Desk desk) {
         super(desk);
     }
 
     @Override void opened() {
+        idleSince = desk.clock();
+        awaits = REST;
+        desk.bells.set(patience, idleSince + WHOLE_MS);
         desk.admit(this);
     }
 
     @Override void closed() {
         ending = true;
+        desk.bells.cancel(patience);
         desk.gone(this);
         if (lookup != null) {
             Lookup l = lookup;
@@ -43,21 +72,44 @@
         }
     }
 
-    @Override void idle() {
-        if (lookup == null) session.closeNow();
-    }
-
-    /** Nothing is owed on it and nothing has begun. */
-    boolean isIdle() {
-        return lookup == null && left() == 0 && session.getScheduledWriteBytes() == 0;
+    int worth() {
+        if (lookup != null || session.getScheduledWriteBytes() > 0) return IN_USE;
+        if (ending) return REFUSED;
+        if (!proven) return UNPROVEN;
+        return left() == 0 && desk.clock() - idleSince > LEFT_OVER_MS ? LEFT_OVER : IN_USE;
     }
 
     void goOn() {
-        if (!ending) received();
+        if (ending) return;
+        if (suspended) session.resumeRead();
+        suspended = false;
+        received();
     }
 
     @Override void received() {
-        if (ending) from = to;                          // its last answer is on its way
+        readHeads();
+        if (ending) {                                   // its last answer is on its way
+            passedOver += left();
+            from = to;
+            if (passedOver > MOST_PASSED_OVER) session.suspendRead();
+        } else if (lookup != null) {
+            awaits = NOTHING;
+            desk.bells.cancel(patience);
+            if (left() > LONGEST_HEAD + LARGEST_BODY) {
+                session.suspendRead();                  // the rest waits where it is: it costs nobody else
+                suspended = true;
+            }
+        } else if (left() > 0) {
+            if (awaits != REST) desk.bells.set(patience, desk.clock() + WHOLE_MS);
+            awaits = REST;
+        } else if (awaits == NOTHING) {
+            awaits = NEXT;
+            idleSince = desk.clock();
+            desk.bells.set(patience, idleSince + IDLE_MS);
+        }
+    }
+
+    private void readHeads() {
         while (lookup == null && !ending && left() > 0) {
             // Empty lines before a head are let pass, as the standard asks of servers.
             while (scanned == 0 && left() > 1 && bytes[from] == '\r' && bytes[from + 1] == '\n') from += 2;
@@ -84,12 +136,9 @@
             if (to - end < bodyLength) return;          // the rest of the body is still to come
             scanned = 0;
             from = end + (int) bodyLength;              // before it is asked: its answer may end the connection
+            awaits = NOTHING;
             ask(end);
         }
-        if (lookup != null && left() > LONGEST_HEAD + LARGEST_BODY) {
-            desk.count.longHead++;
-            drop();
-        }
     }
 
     /** Just past the empty line, or -1; what was looked through is not looked through again. */
@@ -107,9 +156,10 @@
         sizeKb = 0;
         wait = Double.NaN;
         group = -1;
-        bodyLength = 0;
+        bodyLength = -1;
         repeat = false;
         usable = true;
+        seen = 0;
         int eol = Bytes.find(bytes, from, end, '\n');
         if (eol == from || bytes[eol - 1] != '\r') return "400 Bad Request";
         int a = Bytes.find(bytes, from, eol, ' '), b = a < 0 ? -1 : Bytes.find(bytes, a + 1, eol, ' ');
@@ -132,7 +182,7 @@
             }
             if (Bytes.isWord(bytes, at, colon, "content-length")) {
                 long n = Bytes.whole(bytes, v, e);
-                if (n < 0 || bodyLength > 0 && bodyLength != n) return "400 Bad Request";
+                if (n < 0 || bodyLength >= 0 && bodyLength != n) return "400 Bad Request";
                 if (n > LARGEST_BODY) return "413 Content Too Large";
                 bodyLength = n;
             } else if (Bytes.isWord(bytes, at, colon, "transfer-encoding")) {
@@ -141,6 +191,7 @@
                 field(at, colon, v, e);
             }
         }
+        bodyLength = Math.max(0, bodyLength);
         return null;
     }
 
@@ -157,20 +208,20 @@
         if (Bytes.isWord(bytes, name, nameEnd, "connection")) {
             close = Bytes.isWord(bytes, v, e, "close") || close && !Bytes.isWord(bytes, v, e, "keep-alive");
         } else if (Bytes.isWord(bytes, name, nameEnd, "req-id")) {
-            usable &= id < 0 && e - v == 16 && Bytes.isHex(bytes, v, e);
+            once(1, e - v == 16 && Bytes.isHex(bytes, v, e));
             id = v;
             idEnd = e;
         } else if (Bytes.isWord(bytes, name, nameEnd, "req-wait-ms")) {
             wait = Bytes.number(bytes, v, e);
-            usable &= wait >= 0;
+            once(2, wait >= 0);
         } else if (Bytes.isWord(bytes, name, nameEnd, "req-retry")) {
             repeat = Bytes.is(bytes, v, e, "1");
         } else if (Bytes.isWord(bytes, name, nameEnd, "x-lot")) {
             group = Bytes.whole(bytes, v, e);
-            usable &= group >= 0 && group <= 65_535;
+            once(4, group >= 0 && group <= LAST_GROUP);
         } else if (Bytes.isWord(bytes, name, nameEnd, "req-kb")) {
             sizeKb = Bytes.number(bytes, v, e);
-            usable &= sizeKb >= 0;
+            once(8, sizeKb >= 0);
         } else if (Bytes.isWord(bytes, name, nameEnd, "if-none-match")) {
             // One strong tag that can stand in a line of the node's protocol; any other is as if absent.
             if (e - v < 3 || e - v > 130 || bytes[v] != '"' || bytes[e - 1] != '"') return;
@@ -182,9 +233,16 @@
         }
     }
 
+    /** A field that the lookup stands on: sound, and told only once. */
+    private void once(int field, boolean sound) {
+        usable &= sound && (seen & field) == 0;
+        seen |= field;
+    }
+
     private void ask(int bodyAt) {
         double now = desk.clock();
         if (Bytes.is(bytes, target, targetEnd, HEALTHY)) {
+            proven = true;
             if (desk.ready) write(whole("200 OK", "", "ready\n"));
             else write(whole("503 Service Unavailable", "", "not ready\n"));
             return;
@@ -206,13 +264,14 @@
             int n = c + 1 + PART.length();
             part = n < targetEnd && Bytes.is(bytes, c + 1, n, PART) ? Bytes.whole(bytes, n, targetEnd) : -1;
         }
-        if (workload == null || !usable || id < 0 || part < 0 || part > Integer.MAX_VALUE
-            || !Bytes.isHex(bytes, b + 1, objectEnd)) {
+        Workload w = workload == null ? null : desk.opening.all[workload];
+        if (w == null || !usable || id < 0 || part < 0 || part > Integer.MAX_VALUE
+            || !Bytes.isHex(bytes, b + 1, objectEnd) || wait > BEYOND * w.abandonMs()
+            || sizeKb > BEYOND * w.abandonMs() * desk.opening.flowKbPerMs) {
             desk.count.badField++;
             write(whole("400 Bad Request", "", ""));
             return;
         }
-        Workload w = desk.opening.all[workload];
         StringBuilder asked = new StringBuilder(96).append("sort=").append(name).append(",asset=")
             .append(Bytes.text(bytes, b + 1, objectEnd));
         if (parted) asked.append(",slice=").append(part);
@@ -222,7 +281,10 @@
             Bytes.hex(bytes, b + 1, objectEnd) & Long.MAX_VALUE, (int) group,
             now + (Double.isNaN(wait) ? w.abandonMs() : wait), desk.mostHops());
         lookup = l;
-        if (desk.lookup(l, workload, (int) part, sizeKb, repeat)) return;
+        if (desk.lookup(l, workload, (int) part, sizeKb, repeat)) {
+            proven = true;
+            return;
+        }
         lookup = null;
         desk.count.badField++;
         write(whole("400 Bad Request", "", ""));
@@ -275,7 +337,7 @@
     private void write(IoBuffer b) {
         if (ending) return;
         session.write(b);
-        desk.boundUnwritten();
+        desk.boundUnwritten(this);
         if (!close) return;
         ending = true;
         session.closeOnFlush();
@@ -288,10 +350,6 @@
         from = to;
         session.write(whole(status, status.startsWith("405") ? "Allow: GET\r\n" : "", ""));
         // Closed at once, what still comes in would make the system take the answer back from the client.
-        desk.bells.set(new Bells.Bell() {
-            @Override void ring() {
-                drop();
-            }
-        }, desk.clock() + LINGER_MS);
+        desk.bells.set(patience, desk.clock() + LINGER_MS);
     }
 }
--- a/src/main/java/mothcross/net/Connection.java
+++ b/src/main/java/mothcross/net/Connection.java
@@ -5,7 +5,6 @@
 import java.util.function.Consumer;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
-import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,9 +39,6 @@
     /** The connection has ended, from whichever side. */
     abstract void closed();
 
-    /** Nothing has gone either way for the socket library's idle time. */
-    void idle() { }
-
     final void bind(IoSession to) {
         session = to;
         to.setAttribute(SELF, this);
@@ -114,10 +110,6 @@
             with(session, Connection::closed);
         }
 
-        @Override public void sessionIdle(IoSession session, IdleStatus status) {
-            with(session, Connection::idle);
-        }
-
         private void with(IoSession session, Consumer<Connection> what) {
             Connection c = (Connection) session.getAttribute(SELF);
             if (c != null) desk.locked(() -> what.accept(c));
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -10,13 +10,23 @@
 final class Counters {
     private static final Logger LOG = LoggerFactory.getLogger(Counters.class);
     long lookups, handled, unchanged, bounced, givenUp, left, hops, connects, probes, probesFit;
-    long badHead, longHead, badPath, badField, badNode, badFrame, slowReaders, crowded;
+    long badHead, longHead, badPath, badField, badNode, badFrame, slowReaders, crowded, idle, slowHead, reloads;
     /** What must never happen: asserted in tests and debug runs, counted here in release. */
     long faults, unanswered, broken;
+    private static final int MOST_WARNINGS = 20;
+    private int warned;
+    private long keptBack;
     final long[] ends = new long[9];
     private static final String[] END = {"handled", "error", "full", "timed-out", "unreached", "broken",
         "called-off", "not-sent", "miss"};
 
+    /** What others send can't flood the log: so many lines between two of counters, the rest is only counted. */
+    boolean mayWarn() {
+        if (warned++ < MOST_WARNINGS) return true;
+        keptBack++;
+        return false;
+    }
+
     /** Counts what must hold and does not. */
     void hold(boolean held, String what) {
         assert held : what;
@@ -36,7 +46,10 @@
         s.append("; connects ").append(connects).append("; bad: head ").append(badHead);
         s.append(", long ").append(longHead).append(", path ").append(badPath).append(", field ").append(badField);
         s.append(", node ").append(badNode).append(", frame ").append(badFrame);
-        s.append("; slow readers ").append(slowReaders).append(", crowded ").append(crowded);
+        s.append("; clients: slow to ask ").append(slowHead).append(", left idle ").append(idle);
+        s.append(", slow readers ").append(slowReaders).append(", crowded ").append(crowded);
+        s.append("; reloads ").append(reloads).append(", warnings kept back ").append(keptBack);
+        warned = 0;
         s.append("; must be 0: faults ").append(faults).append(", unanswered ").append(unanswered);
         return s.append(", broken ").append(broken).toString();
     }
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -42,9 +42,10 @@
     private Lookup[] lookups = new Lookup[64];
     // By the client's id, while open; an id that is open already is not taken again.
     private final Map<Long, Lookup> open = new HashMap<>();
-    // One entry for each node ever listed; the module's index is never given to another node.
+    // One entry for each node listed; that of one that is gone, and has no hop out, is given to the next new one.
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, Node> nodeOf = new HashMap<>();
+    private final LinkedHashSet<Node> goneNodes = new LinkedHashSet<>();
     // Every connection to a node that is up or on its way; each takes itself out when it ends.
     final Set<NodeConnection> connections = new LinkedHashSet<>();
     // Filled while the module is at work, empty whenever the lock is free.
@@ -52,22 +53,26 @@
     private final ArrayDeque<ClientConnection> goOn = new ArrayDeque<>();
     // Clients in the order in which they came; bounded by the descriptors the director is given.
     private final LinkedHashSet<ClientConnection> clients = new LinkedHashSet<>();
-    private final int mostClients;
-    private final long mostUnwritten;
+    private int mostClients;
+    private long mostUnwritten;
     private boolean atWork, closing;
     private double now;
     volatile boolean ready;
 
-    Desk(Opening opening, IoConnector connector, int mostHops, int sockets, double memoryMb) {
+    Desk(Opening opening, IoConnector connector, int mostHops) {
         this.opening = opening;
         this.connector = connector;
         this.director = opening.director;
         this.mostHops = mostHops;
-        this.mostClients = sockets * 3 / 4;
-        this.mostUnwritten = (long) (memoryMb * (1 << 20) / 8);
         this.bells = new Bells(this);
     }
 
+    /** Usual clients hold a third of the descriptors at most; nodes and the process itself need the rest. */
+    void limits(int sockets, double memoryMb) {
+        mostClients = sockets / 2;
+        mostUnwritten = (long) (memoryMb * (1 << 20) / 8);
+    }
+
     // ---- the lock and the clock ----
 
     void enter() {
@@ -152,9 +157,14 @@
     }
 
     private void over(Lookup l) {
+        ended(l);
+        release(l);
+    }
+
+    private void ended(Lookup l) {
+        bells.cancel(l);
         open.remove(l.number, l);
         slots.over(l.index);
-        release(l);
     }
 
     private void release(Lookup l) {
@@ -164,8 +174,7 @@
     void left(Lookup l) {
         if (isOver(l)) return;
         count.left++;
-        open.remove(l.number, l);
-        slots.over(l.index);
+        ended(l);
         round(to -> to.clientLeft(l.index));
         release(l);
     }
@@ -182,18 +191,26 @@
 
     // ---- clients ----
 
-    /** Where descriptors run short, the client longest idle makes room; else the new one has to go. */
+    /**
+     * Where descriptors run short, one that has its refusal goes first, then one that never asked anything
+     * sound, then one kept open longer than clients are to keep theirs; each time the oldest. Never one that
+     * may be asking just now: the new one has to go where all of them may.
+     */
     void admit(ClientConnection c) {
         clients.add(c);
         if (clients.size() <= mostClients) return;
         count.crowded++;
+        ClientConnection out = c;
+        int least = ClientConnection.NEW;
         for (ClientConnection x : clients) {
-            if (x == c || !x.isIdle()) continue;
-            x.drop();
-            clients.remove(x);
-            return;
+            int worth = x == c ? ClientConnection.NEW : x.worth();
+            if (worth >= least) continue;
+            least = worth;
+            out = x;
+            if (worth == 0) break;
         }
-        c.drop();
+        clients.remove(out);
+        out.drop();
     }
 
     void gone(ClientConnection c) {
@@ -211,13 +228,14 @@
     }
 
     /** Clients that read slowly hold so much of the memory at most; past it, the one that holds most goes. */
-    void boundUnwritten() {
+    void boundUnwritten(ClientConnection writer) {
+        // The sum is looked at only when this one has more than one answer unread: most never have.
+        if (writer.session.getScheduledWriteBytes() <= mostUnwritten / mostClients) return;
         if (unwritten() <= mostUnwritten) return;
         count.slowReaders++;
-        ClientConnection most = null;
+        ClientConnection most = writer;
         for (ClientConnection c : clients) {
-            long held = c.session.getScheduledWriteBytes();
-            if (most == null || held > most.session.getScheduledWriteBytes()) most = c;
+            if (c.session.getScheduledWriteBytes() > most.session.getScheduledWriteBytes()) most = c;
         }
         most.drop();
     }
@@ -234,6 +252,8 @@
             giveUpAt > 0 ? Math.min(giveUpAt, l.expires) : l.expires);
         l.add(h);
         count.hops++;
+        h.node.hops++;
+        h.source.hops++;
         if (closing || now >= h.until) {
             end(h, closing ? Director.NOT_SENT : Director.TIMED_OUT);
             return;
@@ -256,6 +276,9 @@
         h.ended = true;
         h.outcome = outcome;
         h.on = null;
+        bells.cancel(h);
+        h.node.hops--;
+        h.source.hops--;
         count.ends[outcome]++;
         ended.add(h);
     }
@@ -267,8 +290,7 @@
                 count.handled++;
                 if (h.unchanged) count.unchanged++;
                 l.client.handled(h);
-                open.remove(l.number, l);
-                slots.over(l.index);
+                ended(l);
             }
             h.answer = null;
             boolean last = isOver(l), known = slots.hopEnded(l.index, h.number);
@@ -294,9 +316,10 @@
         Node n = nodeOf.get(id);
         if (n == null) {
             if (standing == Director.GONE) return;
-            nodeOf.put(id, n = new Node(nodes.size(), id));
-            nodes.add(n);
+            nodeOf.put(id, n = new Node(freeIndex(), id));
+            nodes.set(n.index, n);
         }
+        goneNodes.remove(n);
         n.named = true;
         n.standing = standing;
         if (!address.equals(n.address) && n.connection != null) n.connection.replace();
@@ -305,11 +328,29 @@
         to.listed(n.index, id, place, kind, cell, standing, units, startedAt);
     }
 
+    /** That of the node gone longest of those that no hop names; the module forgets what it knew of that one. */
+    private int freeIndex() {
+        for (Node n : goneNodes) {
+            if (n.hops > 0) continue;
+            goneNodes.remove(n);
+            nodeOf.remove(n.id, n);
+            return n.index;
+        }
+        nodes.add(null);
+        return nodes.size() - 1;
+    }
+
+    int nodes() {
+        return nodes.size();
+    }
+
     void listEnds(Director to) {
         to.listEnds();
         for (Node n : nodes) {
             if (!n.named) n.standing = Director.GONE;
-            if (n.standing == Director.GONE && n.connection != null) n.connection.replace();
+            if (n.standing != Director.GONE) continue;
+            if (n.connection != null) n.connection.replace();
+            goneNodes.add(n);
         }
         takeBack(h -> h.node.standing != Director.IN_SERVICE || h.source.standing != Director.IN_SERVICE);
     }
--- a/src/main/java/mothcross/net/Life.java
+++ b/src/main/java/mothcross/net/Life.java
@@ -1,14 +1,16 @@
 package mothcross.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import mothcross.Workload;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
-import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
@@ -26,18 +28,45 @@
 public final class Life {
     private static final Logger LOG = LoggerFactory.getLogger("mothcross");
     private static final double COUNTERS_MS = 10_000;
+    private static final int CLIENT_READ = 16 << 10;
     // The protocol page's figures for a planned restart.
     private static final double STILL_COMES_MS = 700, LONGEST_ANSWER_MS = 3000, MARGIN_MS = 150;
 
-    private final Start start;
+    private Start start;
     private final Desk desk;
     private final Bulletin bulletin;
-    private final NioSocketAcceptor acceptor;
+    private final Acceptor acceptor;
     private final NioSocketConnector connector;
     private final IoProcessor<NioSession> processor;
     private final CountDownLatch over = new CountDownLatch(1);
     private double terminatedAt;
 
+    /** Accepts no faster than clients that have to go make room, so that descriptors never run out. */
+    private static final class Acceptor extends NioSocketAcceptor {
+        private static final int HELD_UP_MS = 50;
+        volatile int most;
+        private final AtomicInteger held = new AtomicInteger();
+
+        Acceptor(Executor threads, IoProcessor<NioSession> processor) {
+            super(threads, processor);
+        }
+
+        @Override protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel from)
+            throws Exception {
+            for (int i = 0; held.get() >= most && i < HELD_UP_MS; i++) Thread.sleep(1);
+            NioSession s = held.get() >= most ? null : super.accept(processor, from);
+            if (s == null) return null;
+            held.incrementAndGet();
+            s.getCloseFuture().addListener(f -> held.decrementAndGet());
+            return s;
+        }
+    }
+
+    private void limits() {
+        desk.limits(start.sockets, start.memoryMb);
+        acceptor.most = start.sockets * 5 / 8 + 1;
+    }
+
     public Life(Start start) {
         this.start = start;
         Executor threads = Executors.newCachedThreadPool(r -> {
@@ -47,18 +76,20 @@
         });
         processor = new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
         connector = new NioSocketConnector(threads, processor);
-        acceptor = new NioSocketAcceptor(threads, processor);
-        desk = new Desk(start.opening, connector, start.mostHops, start.sockets, start.memoryMb);
+        acceptor = new Acceptor(threads, processor);
+        desk = new Desk(start.opening, connector, start.mostHops);
+        limits();
         bulletin = new Bulletin(desk, start.bulletin);
         connector.setHandler(new Connection.Callbacks(desk, false));
         acceptor.setHandler(new Connection.Callbacks(desk, true));
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(512);
+        acceptor.setCloseOnDeactivation(false);         // another address, or the end, leaves open what is open
         for (SocketSessionConfig c : List.of(connector.getSessionConfig(), acceptor.getSessionConfig())) {
             c.setTcpNoDelay(true);
             c.setWriteTimeout(10);
         }
-        acceptor.getSessionConfig().setIdleTime(IdleStatus.BOTH_IDLE, 60);
+        acceptor.getSessionConfig().setMaxReadBufferSize(CLIENT_READ);
         // The desk's bell rings sooner.
         connector.setConnectTimeoutMillis((long) start.opening.connectMs + 1000);
     }
@@ -85,6 +116,34 @@
         LOG.info("{} serves on {}", start.name, acceptor.getLocalAddress());
     }
 
+    /** SIGHUP: takes over what another file tells, under load; nothing that is open is touched. */
+    public void reload(Start anew) {
+        List<InetSocketAddress> old = List.of(start.listen);
+        boolean moves = !anew.listen.equals(start.listen);
+        if (moves) {
+            try {
+                acceptor.bind(anew.listen);
+            } catch (IOException e) {
+                LOG.warn("reload: can't listen on {} ({}); all stays as it was", anew.listen, e.getMessage());
+                return;
+            }
+        }
+        desk.locked(() -> {
+            boolean others = !anew.settings.equals(start.settings);
+            start = anew;
+            limits();
+            bulletin.move(anew.bulletin);
+            desk.count.reloads++;
+            LOG.info("reload: the file is read anew{}", others ? "; its settings wait for the next start" : "");
+        });
+        if (moves) acceptor.unbind(old);
+    }
+
+    /** The new file can't be used. */
+    public void reloadFailed(String why) {
+        LOG.warn("reload: {}; all stays as it was", why);
+    }
+
     Desk desk() {
         return desk;
     }
@@ -104,8 +163,9 @@
 
     private void log() {
         Runtime r = Runtime.getRuntime();
-        LOG.info("{}; open {}, clients {}, heap {} MB", desk.count.line(), desk.openLookups(),
-            desk.clients(), (r.totalMemory() - r.freeMemory()) >> 20);
+        LOG.info("{}; open {}, clients {}, nodes {}, bells {}, heap {} MB", desk.count.line(),
+            desk.openLookups(), desk.clients(), desk.nodes(), desk.bells.size(),
+            (r.totalMemory() - r.freeMemory()) >> 20);
     }
 
     /** SIGTERM: goes on serving as long as lookups may come, answers all that is open, then returns. */
--- a/src/main/java/mothcross/net/Node.java
+++ b/src/main/java/mothcross/net/Node.java
@@ -8,6 +8,7 @@
     final String id;
     InetSocketAddress address;
     int standing;
+    int hops;                           // out that name it, as node or as source
     boolean named;                      // in the whole list being read
     NodeConnection connection;          // null where none is up or on its way
 
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Predicate;
@@ -21,7 +22,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(NodeConnection.class);
     static final int HEAD_ROOM = 320;
     private static final int LONGEST_LINE = 4096, LARGEST_BODY = 240_000;
-    private static final double USED_OF_IDLE = 0.9;
+    private static final double USED_OF_IDLE = 0.9, UNREAD_MS = 50;
     private static final String[] NOTES = {"mem", "parent", "origin", "shared", "old", "denied", "unreached",
         "absent", "crowded", "behind"};
     private static final byte[] WANT = Bytes.of("want "), END_OF_LINE = Bytes.of("\r\n");
@@ -39,6 +40,17 @@
     private int bodyLeft = -1;
     private Hop bodyFor;
     private int scanned;
+    private boolean suspected;
+
+    /** An answer that has begun goes on within the time a connection may take, or what is here is spoilt. */
+    private final Bells.Bell patience = new Bells.Bell() {
+        @Override void ring() {
+            if (ended) return;
+            if (suspected) malformed("stalls within an answer");
+            else desk.bells.set(this, desk.clock() + UNREAD_MS);    // it may have come, and not been read yet
+            suspected = true;
+        }
+    };
 
     /** A question about the node itself. */
     private final class Probe extends Bells.Bell {
@@ -54,6 +66,7 @@
         }
 
         void finish(int outcome, double[] report) {
+            desk.bells.cancel(this);
             if (probes.remove(tag) != null) desk.probeEnded(node, outcome, desk.clock() - askedAt, report);
         }
     }
@@ -189,9 +202,9 @@
         ended = true;
         desk.connections.remove(this);
         if (node.connection == this) node.connection = null;
-        for (Hop h; (h = waiting.poll()) != null;) desk.end(h, Director.UNREACHED);
-        for (Hop h : out.values()) desk.end(h, h.written.isWritten() ? Director.BROKEN : Director.UNREACHED);
-        out.clear();
+        desk.bells.cancel(patience);
+        endAll(waiting, null);
+        endAll(out.values(), bodyFor);
         int outcome = up ? Director.BROKEN : Director.UNREACHED;
         for (Probe p : probes.values()) {
             desk.bells.set(new Bells.Bell() {              // not at once: the module may be at work
@@ -203,10 +216,30 @@
         up = false;
     }
 
+    /** One fault is one piece of evidence about the node: the rest only went down with it. */
+    private void endAll(Collection<Hop> hops, Hop guilty) {
+        Hop first = guilty;
+        for (Hop h : hops) {
+            if (first == null) first = h;
+            if (h != first) h.note = Director.ALONG;
+            boolean ran = h.written != null && h.written.isWritten();
+            desk.end(h, ran ? Director.BROKEN : Director.UNREACHED);
+        }
+        hops.clear();
+    }
+
     // ---- answers ----
 
     @Override void received() {
         heardAt = usedAt = desk.clock();
+        answers();
+        if (ended) return;
+        suspected = false;
+        if (left() > 0 || bodyLeft >= 0) desk.bells.set(patience, heardAt + desk.opening.connectMs);
+        else desk.bells.cancel(patience);
+    }
+
+    private void answers() {
         while (left() > 0) {
             if (bodyLeft >= 0) {
                 takeBody();
@@ -274,13 +307,14 @@
         if (c < 0) return malformed("fewer than four words");
         int outcome = outcome(a + 1, b);
         long length = Bytes.whole(bytes, c + 1, end);
-        if (outcome < 0 || length < 0 || length > LARGEST_BODY || !Bytes.isHex(bytes, start, a)) {
-            return malformed("word, length or id");
-        }
+        if (outcome < 0 || length < 0 || length > LARGEST_BODY) return malformed("word or length");
         bodyLeft = (int) length + 2;
-        Hop h = out.get(Bytes.hex(bytes, start, a));
-        if (h == null) return true;                     // given up meanwhile
-        if (!fields(h, b + 1, c)) return malformed("fields");
+        Hop h = Bytes.isHex(bytes, start, a) ? out.get(Bytes.hex(bytes, start, a)) : null;
+        if (h == null) return true;                     // given up meanwhile, or nobody's
+        if (!fields(h, b + 1, c)) {
+            bodyFor = h;
+            return malformed("fields");
+        }
         h.unchanged = bytes[a + 1] == 'K';
         if (outcome == Director.HANDLED) {
             h.answer = IoBuffer.allocate(HEAD_ROOM + (int) length);
@@ -342,11 +376,13 @@
 
     private boolean malformed(String what) {
         desk.count.badNode++;
-        LOG.warn("{} sent what is no answer ({}); its connection is dropped", node.id, what);
-        bodyLeft = -1;
-        bodyFor = null;
+        if (desk.count.mayWarn()) {
+            LOG.warn("{} sent what is no answer ({}); its connection is dropped", node.id, what);
+        }
         drop();
         closed();
+        bodyLeft = -1;
+        bodyFor = null;
         return false;
     }
 }
--- a/src/main/java/mothcross/net/Start.java
+++ b/src/main/java/mothcross/net/Start.java
@@ -33,10 +33,10 @@
     public final Opening opening;
     public final int sockets, mostHops;
     public final double memoryMb;
-    final JsonObject known;
+    final JsonObject known, settings;
 
     private Start(String name, InetSocketAddress listen, InetSocketAddress bulletin, Opening opening,
-                  int sockets, double memoryMb, int mostHops, JsonObject known) {
+                  int sockets, double memoryMb, int mostHops, JsonObject known, JsonObject settings) {
         this.name = name;
         this.listen = listen;
         this.bulletin = bulletin;
@@ -45,6 +45,7 @@
         this.memoryMb = memoryMb;
         this.mostHops = mostHops;
         this.known = known;
+        this.settings = settings;
     }
 
     /** {@code listen}, where given, stands before the file's. */
@@ -77,7 +78,7 @@
             Bulletin.socket(listen != null ? listen : need(all, "listen").getAsString()),
             Bulletin.socket(need(all, "bulletin").getAsString()), new Opening(flat, seed),
             need(limits, "sockets").getAsInt(), need(limits, "memory_mb").getAsDouble(),
-            flat.small("Caps.MaxAttempts"), known);
+            flat.small("Caps.MaxAttempts"), known, settings);
     }
 
     private static JsonElement need(JsonObject in, String field) {
