--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Predicate;
 import mothcross.Director;
@@ -30,7 +31,7 @@
 
     private final Node node;
     private final ArrayDeque<Hop> waiting = new ArrayDeque<>();
-    private final Map<Long, Hop> out = new HashMap<>();
+    private final Map<Long, Hop> out = new LinkedHashMap<>();       // the one longest out first
     private final Map<String, Probe> probes = new HashMap<>();
     private long probeCount;
     private ConnectFuture connecting;
@@ -52,6 +53,15 @@
         }
     };
 
+    /** Not up in time counts as not reached. */
+    private final Bells.Bell notUp = new Bells.Bell() {
+        @Override void ring() {
+            if (up || ended) return;
+            connecting.cancel();
+            closed();
+        }
+    };
+
     /** A question about the node itself. */
     private final class Probe extends Bells.Bell {
         final double askedAt = desk.clock();
@@ -77,24 +87,13 @@
         node.connection = this;
         desk.connections.add(this);
         desk.count.connects++;
-        limitConnecting();
+        desk.bells.set(notUp, desk.clock() + desk.opening.connectMs);
         connecting = desk.connector.connect(node.address, (session, future) -> bind(session));
         connecting.addListener(f -> {
             if (connecting.getException() != null || connecting.isCanceled()) desk.locked(this::closed);
         });
     }
 
-    /** Not up in time counts as not reached. */
-    private void limitConnecting() {
-        desk.bells.set(new Bells.Bell() {
-            @Override void ring() {
-                if (up || ended) return;
-                connecting.cancel();
-                closed();
-            }
-        }, desk.clock() + desk.opening.connectMs);
-    }
-
     private static NodeConnection to(Desk desk, Node node) {
         NodeConnection c = node.connection;
         // The node closes what has been idle for long; not to cross that, it is closed here a little sooner.
@@ -191,6 +190,7 @@
             return;
         }
         up = true;
+        desk.bells.cancel(notUp);
         for (Hop h; (h = waiting.poll()) != null;) write(h);
         for (Probe p : probes.values()) writeProbe(p);
         usedAt = desk.clock();
@@ -203,6 +203,7 @@
         desk.connections.remove(this);
         if (node.connection == this) node.connection = null;
         desk.bells.cancel(patience);
+        desk.bells.cancel(notUp);
         endAll(waiting, null);
         endAll(out.values(), bodyFor);
         int outcome = up ? Director.BROKEN : Director.UNREACHED;
--- a/src/test/java/mothcross/Stage.java
+++ b/src/test/java/mothcross/Stage.java
@@ -52,6 +52,14 @@
             }
             return;
         }
+        if (line.startsWith("err ")) {                                  // every node it is sent to gives an error
+            play(t, "ask" + line.substring(3));
+            for (int l = Integer.parseInt(line.split(" ")[1]), n = -1; n != hops[l];) {
+                n = hops[l];
+                play(t, "end " + l + " 1");
+            }
+            return;
+        }
         String[] p = line.split(" ");
         Map<String, String> f = new HashMap<>();
         for (String x : p) if (x.indexOf('=') > 0) f.put(x.split("=")[0], x.split("=")[1]);
--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -32,7 +32,8 @@
  * {@code reset}, {@code gone} (the director must have ended the connection). {@code |} stands for CR LF,
  * {@code @F} for a number that is filled in. First {@code start KEY=VALUE}, {@code node NAME KIND},
  * {@code refused NAME KIND} (nothing listens there) and {@code mute NAME KIND} (connections never come
- * up); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N}. No step waits for a time:
+ * up); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes} and {@code bells}: how many are
+ * held). No step waits for a time:
  * each reads until what it names has come, or fails after some seconds.
  */
 public class ServeTest {
@@ -162,6 +163,8 @@
             life.desk().enter();
             try {
                 Counters c = life.desk().count;
+                if (name.equals("nodes")) return life.desk().nodes();
+                if (name.equals("bells")) return life.desk().bells.size();
                 return name.startsWith("end") ? c.ends[name.charAt(3) - '0']
                     : Counters.class.getDeclaredField(name).getLong(c);
             } finally {
@@ -226,6 +229,53 @@
         }
     }
 
+    /** SIGHUP under load: the new file's bulletin is followed, what is open stays; a bad file changes nothing. */
+    @Test(timeOut = 60_000) public void programReadsAnewOnHangup() throws Exception {
+        Path file = Files.createTempFile("mothcross", ".json");
+        Map<String, Outside> parties = new TreeMap<>(Map.of("n1", Outside.listening("node", "cache", 0),
+            "bulletin", Outside.listening("node", "bulletin", 99)));
+        Outside second = Outside.listening("node", "bulletin", 98), first = parties.get("bulletin");
+        Files.writeString(file, Outside.told(Map.of(), parties));
+        Process p = Outside.program("serve", "--config", file.toString());
+        try {
+            String line = p.errorReader().readLine();
+            Outside a = Outside.client("a", Integer.parseInt(line.replaceAll(".*:", "")));
+            a.write("GET /api/v2/books/0a HTTP/1.1|Req-Id: 00000000000000a1|X-Lot: 17||", false);
+            assertTrue(parties.get("n1").read().startsWith("want 00000000000000a1 "));
+            assertEquals(first.read(), "2");
+            Files.writeString(file, "no json");
+            hangUp(p, "reload: .*; all stays as it was");
+            parties.put("bulletin", second);
+            Files.writeString(file, Outside.told(Map.of(), parties));
+            hangUp(p, "reload: the file is read anew");
+            assertEquals(second.read(), "2");
+            assertTrue(first.gone());
+            second.write("00000013 0000000000000003 04 0011 " + String.format("%016x", System.currentTimeMillis()), false);
+            parties.get("n1").write("00000000000000a1 DONE n=mem 2|ok|", false);
+            assertTrue(a.read().endsWith("||ok"));
+            second.close(false);
+            assertEquals(second.read(), "3", "the numbers go on");
+            a.write("GET /api/v2/books/0a HTTP/1.1|Req-Id: 00000000000000a2|X-Lot: 17||", false);
+            assertTrue(parties.get("n1").read().contains(",fresh="));
+        } finally {
+            p.destroyForcibly();
+            for (Outside o : List.of(first, second, parties.get("n1"))) o.release();
+        }
+    }
+
+    private static void hangUp(Process p, String says) throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor();
+        for (String line; !(line = p.errorReader().readLine()).matches(".*" + says);) assertTrue(line != null);
+    }
+
+    @Test public void badInputCanNotFloodTheLog() {
+        Counters c = new Counters();
+        int lines = 0;
+        for (int i = 0; i < 1000; i++) if (c.mayWarn()) lines++;
+        assertTrue(lines > 0 && lines < 100 && c.line().contains("kept back " + (1000 - lines)));
+        assertTrue(c.mayWarn(), "after a line of counters");
+    }
+
     private static String write(Path dir, String text) throws Exception {
         return Files.writeString(Files.createTempFile(dir, "c", ".json"), text).toString();
     }
@@ -391,7 +441,9 @@
         static Process program(String... args) throws IOException {
             String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
             String path = System.getProperty("java.class.path");
-            List<String> all = new ArrayList<>(List.of(java, "-cp", path, "mothcross.cli.Main"));
+            // Whoever runs the tests may have SIGHUP ignored, and the JVM would leave it so.
+            List<String> all = new ArrayList<>(List.of("env", "--default-signal=HUP", java, "-cp", path,
+                "mothcross.cli.Main"));
             all.addAll(List.of(args));
             ProcessBuilder b = new ProcessBuilder(all);
             b.environment().keySet().removeIf(k -> k.startsWith("ROUTER_"));
