--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -32,9 +32,9 @@
  * {@code reset}, {@code gone} (the director must have ended the connection). {@code |} stands for CR LF,
  * {@code @F} for a number that is filled in. First {@code start KEY=VALUE}, {@code node NAME KIND},
  * {@code refused NAME KIND} (nothing listens there) and {@code mute NAME KIND} (connections never come
- * up); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes} and {@code bells}: how many are
- * held). No step waits for a time:
- * each reads until what it names has come, or fails after some seconds.
+ * up); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes}
+ * and {@code bells}: how many are held). No step waits for a time: each reads until what it names has come,
+ * or fails after some seconds.
  */
 public class ServeTest {
     @DataProvider
@@ -250,7 +250,8 @@
             hangUp(p, "reload: the file is read anew");
             assertEquals(second.read(), "2");
             assertTrue(first.gone());
-            second.write("00000013 0000000000000003 04 0011 " + String.format("%016x", System.currentTimeMillis()), false);
+            String now = String.format("%016x", System.currentTimeMillis());
+            second.write("00000013 0000000000000003 04 0011 " + now, false);
             parties.get("n1").write("00000000000000a1 DONE n=mem 2|ok|", false);
             assertTrue(a.read().endsWith("||ok"));
             second.close(false);
