--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -132,12 +132,12 @@
             if (report[CORES_BUSY] >= 0) h.node.busy += 0.2 * (report[CORES_BUSY] - h.node.busy);
         }
         // An error that nothing explains may be the lookup's own: what a client made up, all nodes refuse.
-        h.erred = outcome == ERROR && note == 0 && told.failuresExplained()
+        h.err = outcome == ERROR && note == 0 && told.failuresExplained()
             && l.w.effect() != Workload.Effect.ONCE_ONLY;
-        if (h.erred) l.errors++;
+        if (h.err) l.errors++;
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
         if (unasked) h.source.purse += h.sourceCharge;
-        if (h.source != h.node && !unasked && !h.erred && note != ALONG) {
+        if (h.source != h.node && !unasked && !h.err && note != ALONG) {
             double bad = outcome != HANDLED || now > l.aim ? 1 : 0;
             fillsBad[l.workload] += 0.05 * (bad - fillsBad[l.workload]);
         }
@@ -155,12 +155,11 @@
             if (!l.passing && hop == 0 && h.node.tier == Node.CACHE && note != 0) {
                 admission.answered(note == HIT || note == PAST_FRESH);
             }
-            // Only what was handled teaches: sizes and objects that clients make up never are.
+            // Only what was handled teaches, and proves errors before it: what clients make up never is.
             double mean = meanMs[l.workload], weight = mean == 0 ? 1 : 0.02;
             meanMs[l.workload] += weight * ((l.sized ? l.ownMs : spent) - mean);
             if (!l.passing) admission.note(l.key, l.kb);
-            // Handled, so the lookup was sound: now an error tells against the node that gave it.
-            for (int i = 0; i < l.hopCount; i++) if (l.hops[i].erred) health.bad(l.hops[i].node, ERROR);
+            for (int i = 0; i < l.hopCount; i++) if (l.hops[i].err) health.bad(l.hops[i].node, ERROR);
             if (note == HIT) h.node.link.learn(l, spent);
             if (note == FILLED) h.source.link.learn(l, spent);
             if (filled || h.node.tier != Node.CACHE) fills.learn(l, spent - sourceWait);
@@ -177,8 +176,9 @@
         if (!l.open || l.streaming || l.out > 0) return;
         boolean lookedOnly = outcome == MISS && (h.source == h.node || h.heldOnly);
         boolean hopeless = lookedOnly || l.originFailed && l.w.staleMs() == 0 || l.errors > 1;
-        boolean worthIt = !hopeless && l.expires - now > l.ownMs;
-        if (!(worthIt && (h.erred ? proofs : further).affords(h.neverRan) && hop(l))) gate.finish(l);
+        boolean worthIt = !hopeless && l.expires - now > l.ownMs
+            && (h.err ? proofs : further).affords(h.neverRan || note == ALONG);
+        if (!(worthIt && hop(l))) gate.finish(l);
     }
 
     /** Whose failure was it? What is told decides; where nothing is told, cache and source share it. */
@@ -189,11 +189,11 @@
             || !told.failuresExplained() && (outcome == FULL || outcome == MISS || outcome == ERROR);
         l.originFailed |= note == ORIGIN_FAILED;
         h.sourceBlamed = h.source != h.node && (bySource || unclear);
-        h.nodeBlamed = !bySource && note != ORIGIN_FAILED && (note != ALONG || outcome == UNREACHED);
+        boolean own = !bySource && note != ORIGIN_FAILED;
+        h.nodeBlamed = own && outcome != BROKEN;     // what ran and was cut off is held there: ask again
         if (h.sourceBlamed && note != SOURCE_LACKS) health.bad(h.source, outcome);
         if (note == ORIGIN_FAILED || h.source.tier == Node.ORIGIN && h.sourceBlamed) behind.told(Behind.ONCE);
-        boolean evidence = h.nodeBlamed && outcome != FULL && outcome != MISS && note != ALONG && !h.erred;
-        if (evidence) health.bad(h.node, outcome);
+        if (own && outcome != FULL && outcome != MISS && note != ALONG && !h.err) health.bad(h.node, outcome);
     }
 
     @Override public void streamBegan(int index, int hop) {
@@ -292,7 +292,7 @@
     private static final class Hop {
         Node node, source;
         double sentAt, sourceCharge;
-        boolean ended, fills, neverRan, nodeBlamed, sourceBlamed, heldOnly, erred;
+        boolean ended, fills, neverRan, nodeBlamed, sourceBlamed, heldOnly, err;
     }
 
     private static final class Node {
--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -16,7 +16,8 @@
     private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, MOST_PASSED_OVER = 256 << 10;
     // A first message is to be whole so long after connecting, a later one after its first byte; clients are
     // owed a word within 3 s. Usual ones keep an idle connection for 4 s, so one that is idle longer is left over.
-    private static final double WHOLE_MS = 2000, IDLE_MS = 5000, LEFT_OVER_MS = 4100, LINGER_MS = 500;
+    private static final double WHOLE_MS = 2000, IDLE_MS = 5000, LEFT_OVER_MS = 4100, LINGER_MS = 500,
+        UNREAD_MS = 100;
     private static final int NOTHING = 0, REST = 1, NEXT = 2;     // what it awaits of its client
     /** What a connection is worth keeping where descriptors run short, see {@link Desk#admit}. */
     static final int REFUSED = 0, UNPROVEN = 1, LEFT_OVER = 2, NEW = 3, IN_USE = 4;
@@ -26,7 +27,7 @@
     private static final double BEYOND = 10;
 
     private Lookup lookup;
-    private boolean close, ending, proven, suspended;
+    private boolean close, ending, proven, suspended, suspected;
     private int scanned, passedOver, awaits;
     private double idleSince;
     // The head just read, as places in the bytes; -1 where absent.
@@ -40,7 +41,9 @@
     private final Bells.Bell patience = new Bells.Bell() {
         @Override void ring() {
             if (lookup != null) return;
-            if (ending || left() == 0) {
+            if (!ending && left() == 0 && !suspected) {
+                closeIfIdle();
+            } else if (ending || left() == 0) {
                 if (!ending) desk.count.idle++;
                 drop();
             } else {
@@ -76,7 +79,14 @@
         if (lookup != null || session.getScheduledWriteBytes() > 0) return IN_USE;
         if (ending) return REFUSED;
         if (!proven) return UNPROVEN;
-        return left() == 0 && desk.clock() - idleSince > LEFT_OVER_MS ? LEFT_OVER : IN_USE;
+        boolean over = left() == 0 && !suspected && desk.clock() - idleSince > LEFT_OVER_MS;
+        return over ? LEFT_OVER : IN_USE;
+    }
+
+    /** What it asked may be here and not read yet, where the process had no core for a while: that is awaited. */
+    void closeIfIdle() {
+        suspected = true;
+        desk.bells.set(patience, desk.clock() + UNREAD_MS);
     }
 
     void goOn() {
@@ -87,6 +97,7 @@
     }
 
     @Override void received() {
+        suspected = false;
         readHeads();
         if (ending) {                                   // its last answer is on its way
             passedOver += left();
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -9,7 +9,7 @@
  */
 final class Counters {
     private static final Logger LOG = LoggerFactory.getLogger(Counters.class);
-    long lookups, handled, unchanged, bounced, givenUp, left, hops, connects, probes, probesFit;
+    long lookups, handled, unchanged, bounced, givenUp, left, hops, connects, up, probes, probesFit;
     long badHead, longHead, badPath, badField, badNode, badFrame, slowReaders, crowded, idle, slowHead, reloads;
     /** What must never happen: asserted in tests and debug runs, counted here in release. */
     long faults, unanswered, broken;
@@ -43,7 +43,7 @@
         for (int i = 0; i < ends.length; i++) {
             if (ends[i] > 0) s.append(' ').append(END[i]).append(' ').append(ends[i]);
         }
-        s.append("; connects ").append(connects).append("; bad: head ").append(badHead);
+        s.append("; connects ").append(connects).append(" (up ").append(up).append("); bad: head ").append(badHead);
         s.append(", long ").append(longHead).append(", path ").append(badPath).append(", field ").append(badField);
         s.append(", node ").append(badNode).append(", frame ").append(badFrame);
         s.append("; clients: slow to ask ").append(slowHead).append(", left idle ").append(idle);
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -30,6 +30,7 @@
 final class Desk implements DecisionWriter {
     private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
     private static final double BACKSTOP_MS = 20;
+    private static final int MOST_CONNECTIONS = 8;
 
     final ReentrantLock lock = new ReentrantLock();
     final Counters count = new Counters();
@@ -53,7 +54,7 @@
     private final ArrayDeque<ClientConnection> goOn = new ArrayDeque<>();
     // Clients in the order in which they came; bounded by the descriptors the director is given.
     private final LinkedHashSet<ClientConnection> clients = new LinkedHashSet<>();
-    private int mostClients;
+    private int mostClients, nodeSockets;
     private long mostUnwritten;
     private boolean atWork, closing;
     private double now;
@@ -70,6 +71,7 @@
     /** Usual clients hold a third of the descriptors at most; nodes and the process itself need the rest. */
     void limits(int sockets, double memoryMb) {
         mostClients = sockets / 2;
+        nodeSockets = sockets / 6;
         mostUnwritten = (long) (memoryMb * (1 << 20) / 8);
     }
 
@@ -209,6 +211,10 @@
             out = x;
             if (worth == 0) break;
         }
+        if (least == ClientConnection.LEFT_OVER) {
+            out.closeIfIdle();
+            return;
+        }
         clients.remove(out);
         out.drop();
     }
@@ -322,7 +328,7 @@
         goneNodes.remove(n);
         n.named = true;
         n.standing = standing;
-        if (!address.equals(n.address) && n.connection != null) n.connection.replace();
+        if (!address.equals(n.address)) n.replaceConnections();
         n.address = address;
         // All directors must find the same ranking, and each reaches a node at an address of its own.
         to.listed(n.index, id, place, kind, cell, standing, units, startedAt);
@@ -344,12 +350,17 @@
         return nodes.size();
     }
 
+    /** What goes down with one connection is less where there are several; descriptors set how many. */
+    int connectionsPerNode() {
+        return Math.max(1, Math.min(MOST_CONNECTIONS, nodeSockets / nodeOf.size()));
+    }
+
     void listEnds(Director to) {
         to.listEnds();
         for (Node n : nodes) {
             if (!n.named) n.standing = Director.GONE;
             if (n.standing != Director.GONE) continue;
-            if (n.connection != null) n.connection.replace();
+            n.replaceConnections();
             goneNodes.add(n);
         }
         takeBack(h -> h.node.standing != Director.IN_SERVICE || h.source.standing != Director.IN_SERVICE);
--- a/src/main/java/mothcross/net/Node.java
+++ b/src/main/java/mothcross/net/Node.java
@@ -1,8 +1,10 @@
 package mothcross.net;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 
-/** A node of the list as the desk keeps it: its index, its name, its address and the connection to it. */
+/** A node of the list as the desk keeps it: its index, its name, its address and the connections to it. */
 final class Node {
     final int index;
     final String id;
@@ -10,10 +12,15 @@
     int standing;
     int hops;                           // out that name it, as node or as source
     boolean named;                      // in the whole list being read
-    NodeConnection connection;          // null where none is up or on its way
+    // Those that are up or on their way and take hops; replaced ones are no longer among them.
+    final List<NodeConnection> connections = new ArrayList<>();
 
     Node(int index, String id) {
         this.index = index;
         this.id = id;
     }
+
+    void replaceConnections() {
+        for (NodeConnection c : new ArrayList<>(connections)) c.replace();
+    }
 }
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -1,6 +1,7 @@
 package mothcross.net;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
@@ -14,7 +15,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The line protocol with one node, on one long-lived connection. Owns the hops that wait for the connection
+ * The line protocol with one node, on one of its long-lived connections. Owns the hops that wait for the connection
  * or are out on it, and tells how each ended: not made or never wholly written, it never ran; reset after
  * writing, it may have run; silence ends with the hop's time. Must never send a hop again by itself, keep
  * an answer that no hop waits for, or let bytes of one answer reach another.
@@ -84,7 +85,7 @@
     private NodeConnection(Desk desk, Node node) {
         super(desk);
         this.node = node;
-        node.connection = this;
+        node.connections.add(this);
         desk.connections.add(this);
         desk.count.connects++;
         desk.bells.set(notUp, desk.clock() + desk.opening.connectMs);
@@ -94,14 +95,24 @@
         });
     }
 
+    /** The one that is up and carries least; where even that one carries something, one more is made for later. */
     private static NodeConnection to(Desk desk, Node node) {
-        NodeConnection c = node.connection;
-        // The node closes what has been idle for long; not to cross that, it is closed here a little sooner.
-        double idleMs = USED_OF_IDLE * desk.opening.idleMs;
-        boolean idle = c != null && c.up && c.out.isEmpty() && desk.clock() - c.usedAt > idleMs;
-        boolean full = c != null && c.out.size() + c.waiting.size() >= desk.opening.streams;
-        if (idle || full) c.replace();
-        return node.connection != null ? node.connection : new NodeConnection(desk, node);
+        NodeConnection best = null;
+        boolean coming = false;
+        for (NodeConnection c : new ArrayList<>(node.connections)) {
+            // The node closes what has been idle for long; not to cross that, it is closed here a little sooner.
+            if (c.up && c.load() == 0 && desk.clock() - c.usedAt > USED_OF_IDLE * desk.opening.idleMs) c.replace();
+            else if (c.load() >= desk.opening.streams) continue;
+            else if (best == null || c.up && !best.up || c.up == best.up && c.load() < best.load()) best = c;
+            coming |= !c.up;
+        }
+        boolean more = best != null && best.load() > 0 && !coming;
+        if (more && node.connections.size() < desk.connectionsPerNode()) new NodeConnection(desk, node);
+        return best != null ? best : new NodeConnection(desk, node);
+    }
+
+    private int load() {
+        return out.size() + waiting.size() + probes.size();
     }
 
     static void send(Desk desk, Hop h) {
@@ -174,7 +185,7 @@
 
     /** The next hop gets a new connection; this one ends with what is out on it. */
     void replace() {
-        if (node.connection == this) node.connection = null;
+        node.connections.remove(this);
         retired = true;
         retireWhenDone();
     }
@@ -190,6 +201,7 @@
             return;
         }
         up = true;
+        desk.count.up++;
         desk.bells.cancel(notUp);
         for (Hop h; (h = waiting.poll()) != null;) write(h);
         for (Probe p : probes.values()) writeProbe(p);
@@ -201,7 +213,7 @@
         if (ended) return;
         ended = true;
         desk.connections.remove(this);
-        if (node.connection == this) node.connection = null;
+        node.connections.remove(this);
         desk.bells.cancel(patience);
         desk.bells.cancel(notUp);
         endAll(waiting, null);
--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -115,6 +115,7 @@
             case "accept" -> who.accept();
             case "keep" -> who.keep();
             case "clear" -> who.clear();
+            case "shut" -> who.server.close();
             default -> throw new IllegalArgumentException(where + what);
         }
     }
