Clients get room by what they are, silent nodes are asked whether they are there, docs

At fault: Desk.admit's half of the descriptors, less than usual clients and those that stay need, and the close of connections idle for 4.1 to 5 s: usual ones count their 4 s from when they have read the answer, so theirs may still be in use; a lookup that came between the close and its doing was lost. Now idle ends at 7 s, left over means 5 s and the longest idle first, what is closed takes nothing more, and 5/8 of the descriptors are for clients.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -15,12 +15,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
     private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, MOST_PASSED_OVER = 256 << 10;
     // A first message is to be whole so long after connecting, a later one after its first byte; clients are
-    // owed a word within 3 s. Usual ones keep an idle connection for 4 s, so one that is idle longer is left over.
-    private static final double WHOLE_MS = 2000, IDLE_MS = 5000, LEFT_OVER_MS = 4100, LINGER_MS = 500,
-        UNREAD_MS = 100;
+    // owed a word within 3 s. Usual ones keep an idle connection for 4 s, counted from when they have read the
+    // answer, and ask at once on a new one: what is idle much longer is left over, what says nothing at first silent.
+    private static final double WHOLE_MS = 2000, IDLE_MS = 7000, LEFT_OVER_MS = 5000, LINGER_MS = 500,
+        UNREAD_MS = 100, SILENT_MS = 300;
     private static final int NOTHING = 0, REST = 1, NEXT = 2;     // what it awaits of its client
     /** What a connection is worth keeping where descriptors run short, see {@link Desk#admit}. */
-    static final int REFUSED = 0, UNPROVEN = 1, LEFT_OVER = 2, NEW = 3, IN_USE = 4;
+    static final int REFUSED = 0, SILENT = 1, LEFT_OVER = 2, YOUNG = 3, NEW = 4, IN_USE = 5;
     private static final String PATH = "/api/v2/", PART = "piece-", HEALTHY = "/-/healthy";
     private static final int LAST_GROUP = 255;
     // Nobody waits for ten times the time in which a workload is abandoned, nor could so many bytes come in it.
@@ -45,7 +46,7 @@
                 closeIfIdle();
             } else if (ending || left() == 0) {
                 if (!ending) desk.count.idle++;
-                drop();
+                end();
             } else {
                 desk.count.slowHead++;
                 refuseHead("408 Request Timeout");
@@ -78,9 +79,18 @@
     int worth() {
         if (lookup != null || session.getScheduledWriteBytes() > 0) return IN_USE;
         if (ending) return REFUSED;
-        if (!proven) return UNPROVEN;
-        boolean over = left() == 0 && !suspected && desk.clock() - idleSince > LEFT_OVER_MS;
-        return over ? LEFT_OVER : IN_USE;
+        if (!proven) return idleFor() > SILENT_MS ? SILENT : YOUNG;
+        return left() == 0 && !suspected && idleFor() > LEFT_OVER_MS ? LEFT_OVER : IN_USE;
+    }
+
+    double idleFor() {
+        return desk.clock() - idleSince;
+    }
+
+    /** It goes now; what crosses that is not taken. */
+    void end() {
+        ending = true;
+        drop();
     }
 
     /** What it asked may be here and not read yet, where the process had no core for a while: that is awaited. */
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -68,9 +68,9 @@
         this.bells = new Bells(this);
     }
 
-    /** Usual clients hold a third of the descriptors at most; nodes and the process itself need the rest. */
+    /** Usual clients hold a third of the descriptors at most; nodes and the process itself need three eighths. */
     void limits(int sockets, double memoryMb) {
-        mostClients = sockets / 2;
+        mostClients = sockets * 5 / 8;
         nodeSockets = sockets / 6;
         mostUnwritten = (long) (memoryMb * (1 << 20) / 8);
     }
@@ -194,9 +194,9 @@
     // ---- clients ----
 
     /**
-     * Where descriptors run short, one that has its refusal goes first, then one that never asked anything
-     * sound, then one kept open longer than clients are to keep theirs; each time the oldest. Never one that
-     * may be asking just now: the new one has to go where all of them may.
+     * Where descriptors run short, one that has its refusal goes first, then one that has said nothing sound for
+     * long, then one kept open longer than clients are to keep theirs, then one that has not asked yet; each
+     * time the oldest. Never one that may be asking just now: the new one has to go where all of them may.
      */
     void admit(ClientConnection c) {
         clients.add(c);
@@ -206,7 +206,8 @@
         int least = ClientConnection.NEW;
         for (ClientConnection x : clients) {
             int worth = x == c ? ClientConnection.NEW : x.worth();
-            if (worth >= least) continue;
+            boolean longer = worth == least && worth == ClientConnection.LEFT_OVER && x.idleFor() > out.idleFor();
+            if (worth >= least && !longer) continue;
             least = worth;
             out = x;
             if (worth == 0) break;
@@ -216,7 +217,7 @@
             return;
         }
         clients.remove(out);
-        out.drop();
+        out.end();
     }
 
     void gone(ClientConnection c) {
--- a/src/main/java/mothcross/net/Life.java
+++ b/src/main/java/mothcross/net/Life.java
@@ -64,7 +64,7 @@
 
     private void limits() {
         desk.limits(start.sockets, start.memoryMb);
-        acceptor.most = start.sockets * 5 / 8 + 1;
+        acceptor.most = start.sockets * 11 / 16 + 1;
     }
 
     public Life(Start start) {
@@ -208,6 +208,10 @@
 
     /** Lets go of the sockets; for those who start several lives in one process. */
     public void release() {
+        desk.locked(() -> {
+            bulletin.stop();
+            desk.bells.stop();
+        });
         acceptor.dispose(false);
         connector.dispose(false);
         processor.dispose();
--- a/src/main/java/mothcross/net/Node.java
+++ b/src/main/java/mothcross/net/Node.java
@@ -10,6 +10,7 @@
     final String id;
     InetSocketAddress address;
     int standing;
+    double heardAt;                     // when anything came from it last, on whichever connection
     int hops;                           // out that name it, as node or as source
     boolean named;                      // in the whole list being read
     // Those that are up or on their way and take hops; replaced ones are no longer among them.
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -42,7 +42,8 @@
     private int bodyLeft = -1;
     private Hop bodyFor;
     private int scanned;
-    private boolean suspected;
+    private boolean suspected, nodeSilent;
+    private int doubts;
 
     /** An answer that has begun goes on within the time a connection may take, or what is here is spoilt. */
     private final Bells.Bell patience = new Bells.Bell() {
@@ -54,6 +55,38 @@
         }
     };
 
+    /**
+     * A node that owes answers and says nothing is asked whether it is there; where that is not answered either,
+     * the connection is as good as ended: its machine has vanished, or is cut off, or never took up what it got.
+     */
+    private final Bells.Bell quiet = new Bells.Bell() {
+        @Override void ring() {
+            if (ended || out.isEmpty()) {
+                doubts = 0;
+                return;
+            }
+            double now = desk.clock(), step = desk.opening.connectMs / 4;
+            double since = Math.max(heardAt, out.values().iterator().next().writtenAt);
+            boolean nodeToo = node.heardAt <= since;
+            if (doubts == 0) {
+                boolean doubtful = now - since >= 2 * step && desk.opening.probes && (nodeToo || out.size() > 1);
+                if (doubtful) {
+                    doubts = 1;
+                    session.write(IoBuffer.wrap(Bytes.of("there l" + probeCount++ + "\r\n")));
+                }
+                desk.bells.set(this, doubtful ? now + step : Math.max(now + step, since + 2 * step));
+            } else if (doubts++ == 1) {
+                desk.bells.set(this, now + UNREAD_MS);
+            } else {
+                desk.count.silent++;
+                LOG.debug("{} says nothing, {} hops are out", node.id, out.size());
+                drop();
+                nodeSilent = nodeToo;
+                closed();
+            }
+        }
+    };
+
     /** Not up in time counts as not reached. */
     private final Bells.Bell notUp = new Bells.Bell() {
         @Override void ring() {
@@ -155,6 +188,7 @@
         IoBuffer b = IoBuffer.allocate(WANT.length + 1 + length + END_OF_LINE.length);
         b.put(WANT).put(l.id).put((byte) ' ').put(l.asked).put(orders).put(l.body).put(END_OF_LINE).flip();
         h.writtenAt = usedAt = now;
+        if (out.isEmpty()) desk.bells.set(quiet, now + desk.opening.connectMs / 2);
         out.put(l.number, h);
         h.written = session.write(b);
     }
@@ -216,6 +250,7 @@
         node.connections.remove(this);
         desk.bells.cancel(patience);
         desk.bells.cancel(notUp);
+        desk.bells.cancel(quiet);
         endAll(waiting, null);
         endAll(out.values(), bodyFor);
         int outcome = up ? Director.BROKEN : Director.UNREACHED;
@@ -229,12 +264,12 @@
         up = false;
     }
 
-    /** One fault is one piece of evidence about the node: the rest only went down with it. */
+    /** One fault is one piece of evidence about the node, the rest only went down with it: but not if all is silent. */
     private void endAll(Collection<Hop> hops, Hop guilty) {
         Hop first = guilty;
         for (Hop h : hops) {
             if (first == null) first = h;
-            if (h != first) h.note = Director.ALONG;
+            if (h != first && !nodeSilent) h.note = Director.ALONG;
             boolean ran = h.written != null && h.written.isWritten();
             desk.end(h, ran ? Director.BROKEN : Director.UNREACHED);
         }
@@ -244,7 +279,8 @@
     // ---- answers ----
 
     @Override void received() {
-        heardAt = usedAt = desk.clock();
+        heardAt = usedAt = node.heardAt = desk.clock();
+        doubts = 0;
         answers();
         if (ended) return;
         suspected = false;
