The longest idle client makes room, and answers say Connection: close where room runs short

Seen in the incident (rolling restart of directors): up to 62% of lookups failed without a hop; crowded 1,801 and 1,954 with clients 240, nothing broken, out of time or silent; restarts took 1.3 to 1.8 s, the failures lasted. At fault: Desk.admit took clients idle for less than 5 s as in use, and the new one, with its lookup, had to go each time.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -17,11 +17,11 @@
     // A first message is to be whole so long after connecting, a later one after its first byte; clients are
     // owed a word within 3 s. Usual ones keep an idle connection for 4 s, counted from when they have read the
     // answer, and ask at once on a new one: what is idle much longer is left over, what says nothing at first silent.
-    private static final double WHOLE_MS = 2000, IDLE_MS = 7000, LEFT_OVER_MS = 5000, LINGER_MS = 500,
+    private static final double WHOLE_MS = 2000, IDLE_MS = 7000, LINGER_MS = 500,
         UNREAD_MS = 100, SILENT_MS = 300;
     private static final int NOTHING = 0, REST = 1, NEXT = 2;     // what it awaits of its client
     /** What a connection is worth keeping where descriptors run short, see {@link Desk#admit}. */
-    static final int REFUSED = 0, SILENT = 1, LEFT_OVER = 2, YOUNG = 3, NEW = 4, IN_USE = 5;
+    static final int REFUSED = 0, SILENT = 1, IDLE = 2, YOUNG = 3, NEW = 4, IN_USE = 5;
     private static final String PATH = "/api/v2/", PART = "piece-", HEALTHY = "/-/healthy";
     private static final int LAST_GROUP = 255;
     // Nobody waits for ten times the time in which a workload is abandoned, nor could so many bytes come in it.
@@ -80,7 +80,7 @@
         if (lookup != null || session.getScheduledWriteBytes() > 0) return IN_USE;
         if (ending) return REFUSED;
         if (!proven) return idleFor() > SILENT_MS ? SILENT : YOUNG;
-        return left() == 0 && !suspected && idleFor() > LEFT_OVER_MS ? LEFT_OVER : IN_USE;
+        return left() == 0 && !suspected ? IDLE : IN_USE;
     }
 
     double idleFor() {
@@ -314,6 +314,7 @@
     // ---- answers, each of them final ----
 
     void handled(Hop h) {
+        close |= desk.crowding();
         IoBuffer b = h.answer;
         int end = b.position(), length = end - NodeConnection.HEAD_ROOM;
         StringBuilder s = new StringBuilder(160);
@@ -350,6 +351,7 @@
     }
 
     private IoBuffer whole(String status, String fields, String body) {
+        close |= desk.crowding();
         String end = close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
         return IoBuffer.wrap(Bytes.of("HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: "
             + body.length() + end + body));
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -195,8 +195,8 @@
 
     /**
      * Where descriptors run short, one that has its refusal goes first, then one that has said nothing sound for
-     * long, then one kept open longer than clients are to keep theirs, then one that has not asked yet; each
-     * time the oldest. Never one that may be asking just now: the new one has to go where all of them may.
+     * long, then the one longest idle, which may ask again elsewhere, then one that has not asked yet, the oldest
+     * first. Never one that is owed an answer: the new one has to go where all of them are.
      */
     void admit(ClientConnection c) {
         clients.add(c);
@@ -206,13 +206,13 @@
         int least = ClientConnection.NEW;
         for (ClientConnection x : clients) {
             int worth = x == c ? ClientConnection.NEW : x.worth();
-            boolean longer = worth == least && worth == ClientConnection.LEFT_OVER && x.idleFor() > out.idleFor();
+            boolean longer = worth == least && worth == ClientConnection.IDLE && x.idleFor() > out.idleFor();
             if (worth >= least && !longer) continue;
             least = worth;
             out = x;
             if (worth == 0) break;
         }
-        if (least == ClientConnection.LEFT_OVER) {
+        if (least == ClientConnection.IDLE) {
             out.closeIfIdle();
             return;
         }
@@ -220,6 +220,11 @@
         out.end();
     }
 
+    /** Answers then tell clients to ask on a new connection, so that none is closed that may be asking. */
+    boolean crowding() {
+        return clients.size() > mostClients * 3 / 4;
+    }
+
     void gone(ClientConnection c) {
         clients.remove(c);
     }
