A hop out too long gets one beside it, once answers have not come

Excluded: silent connections (none: all answered when asked), unreached nodes (none), stalled answers (8). At fault: a hop's limit is the lookup's time, so nothing is known of a lost answer before it is too late. Decide.askAgain: when a hop is out until just before a second could still be in time, one goes beside it, to the next cache, which asks its parent only for what that holds; once hops have run out of time, two for each and two for each that pays. Where none has, nothing is sent and no bell is set.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -9,7 +9,7 @@
  * own rounds bring. docs/design.md says which part follows the design and where it is extended.
  */
 public final class Decide implements Director {
-    private static final long TUNE = 0, FOLLOW_AGAIN = 1;
+    private static final long TUNE = 0, FOLLOW_AGAIN = 1, OVERDUE = 2;
     private static final int ANY = 0, HEALTHY = 1, IN_TIME = 2;
 
     private final SplittableRandom chance;
@@ -24,7 +24,7 @@
     private final ColdBudgets coldCaches, coldParents;
     private final Link fills;                      // the link in of this place
     private final Behind behind = new Behind();
-    private final Further further = new Further(), proofs = new Further();
+    private final Further further = new Further(), proofs = new Further(), overdue = new Further();
     private final Gate gate = new Gate();
     private final double[] meanMs, fillsBad;       // by workload: sending time; share of fills late or failed
     private Lookup[] lookups = new Lookup[64];     // by index; indices are used again, so it stays small
@@ -38,6 +38,7 @@
         this.places = places;
         this.may = may;
         this.told = told;
+        overdue.left = 0;
         this.meanMs = new double[workloads.length];
         this.fillsBad = new double[workloads.length];
         this.purges = new Purges(purgeTakesMs);
@@ -96,7 +97,7 @@
         // Guards against an outage that looks total: a wrongly set aside cache still beats no answer.
         if (node == null && l.hopCount == 0) node = placement.first(Node.CACHE, l, false, ANY);
         // Straight hops share the place's link with the fills, and crowd it when all caches are gone.
-        boolean straight = node == null && may.straightToSource() && fills.inTime(l);
+        boolean straight = node == null && !l.again && may.straightToSource() && fills.inTime(l);
         if (straight) node = placement.first(Node.PARENT, l, false, HEALTHY);
         if (straight && node == null) node = placement.first(Node.ORIGIN, l, false, HEALTHY);
         if (node == null) return false;
@@ -127,6 +128,7 @@
         if (h.source != h.node) h.source.link.add(-1);
         l.out--;
         if (h.fills) fills.add(-1);
+        if (outcome == TIMED_OUT || outcome == HANDLED && l.out > 0) overdue.earn(2);
         if (report != null) {
             h.node.hitShare = report[HIT_SHARE];
             if (report[CORES_BUSY] >= 0) h.node.busy += 0.2 * (report[CORES_BUSY] - h.node.busy);
@@ -145,7 +147,6 @@
             h.node.failuresInRow = 0;
             coldOf(h.node).carried(h.node, meanMs[l.workload]);
             boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
-            // An origin that keeps a fill past its target by itself is asked for more than it can do.
             boolean dragged = note == FILLED_BY_ORIGIN && now > l.aim && sourceWait > spent / 2;
             if (note == FILLED_BY_ORIGIN) behind.told(dragged ? 1 : 0);
             if (filled) {
@@ -164,8 +165,8 @@
             if (note == HIT) h.node.link.learn(l, spent);
             if (note == FILLED) h.source.link.learn(l, spent);
             if (filled || h.node.tier != Node.CACHE) fills.learn(l, spent - sourceWait);
-            further.handled();
-            proofs.handled();
+            further.earn(Further.EARNED);
+            proofs.earn(Further.EARNED);
         } else {
             h.neverRan = outcome == FULL || outcome == UNREACHED || outcome == NOT_SENT || outcome == MISS;
             blame(l, h, outcome, note);
@@ -182,6 +183,17 @@
         if (!(worthIt && hop(l))) gate.finish(l);
     }
 
+    /**
+     * Guards against answers that never come: once some have not, a hop out so long that another could just
+     * be in time gets one beside it, which asks nothing of the origin. A time-out, or one that pays, buys 2.
+     */
+    private void askAgain(Lookup l) {
+        if (!l.open || l.out != 1 || now < l.overdueAt || !overdue.affords(false)) return;
+        l.again = true;
+        hop(l);
+        l.again = false;
+    }
+
     /** Whose failure was it? What is told decides; where nothing is told, cache and source share it. */
     private void blame(Lookup l, Hop h, int outcome, int note) {
         if (outcome == CALLED_OFF || outcome == NOT_SENT) return;
@@ -208,6 +220,8 @@
     }
 
     @Override public void bell(long name) {
+        int at = (int) Math.min(name - OVERDUE, lookups.length - 1);
+        if (at >= 0 && lookups[at] != null) askAgain(lookups[at]);
         if (name == FOLLOW_AGAIN) out.followList(true);
         if (name == TUNE) out.remind(now + admission.tune(placement.reportedHitShare()), TUNE);
     }
@@ -271,8 +285,7 @@
         return n.tier == Node.PARENT ? coldParents : coldCaches;
     }
 
-    /** Finalizer of a 64-bit mixing hash: every bit of the input moves every bit of the result. */
-    private static long mix(long x) {
+    private static long mix(long x) {                  // finalizer of a 64-bit mixing hash
         x = (x ^ (x >>> 30)) * 0xbf58476d1ce4e5b9L;
         x = (x ^ (x >>> 27)) * 0x94d049bb133111ebL;
         return x ^ (x >>> 31);
@@ -281,8 +294,8 @@
     private static final class Lookup {
         int index, workload, group, rank, hopCount, out, errors;
         long object, key;
-        double expires, aim, ownMs, kb;
-        boolean open, passing, streaming, sized, originFailed;
+        double expires, aim, ownMs, kb, overdueAt;
+        boolean open, passing, streaming, sized, originFailed, again;
         Workload w;
         Hop[] hops;
     }
@@ -321,10 +334,10 @@
         // Rounds empty it of what was not asked for lately; while full it takes nothing new.
         private final Map<Long, Item> table = new HashMap<>();
         double c = Double.POSITIVE_INFINITY, k;
-        private double hits, answers, bytes, least, most, best, bestC;
+        private double hits, answers, bytes, least, most, asked, best, bestC;
         private final SplittableRandom coin;
         private final int directors;
-        private final double[] size = new double[BOUND], rate = new double[BOUND], pass = new double[BOUND],
+        final double[] size = new double[BOUND], rate = new double[BOUND], pass = new double[BOUND],
             came = new double[BOUND];
         private int n, step;
 
@@ -356,7 +369,7 @@
             if (step > 0 && n > 0) {                         // from admitting nearly all downwards
                 double tried = 50 * most * Math.pow(least / (50 * most), (step - 1) / (GRID - 1.0));
                 passes(tried);
-                double expected = hitShare(pushdown(k, true));
+                double expected = held(pushdown(k, size), rate) / asked;
                 if (expected > best + 1e-4) {
                     best = expected;
                     bestC = tried;
@@ -374,11 +387,12 @@
             double total = Arrays.stream(size, 0, n).sum();
             least = Arrays.stream(size, 0, n).min().getAsDouble();
             most = Arrays.stream(size, 0, n).max().getAsDouble();
+            asked = Arrays.stream(rate, 0, n).sum();
             if (k == 0) k = Math.min(total, bytes * 10_000 / ROUND_MS);
             double share = Double.isNaN(reported) ? (answers >= 20 ? hits / answers : Double.NaN) : reported;
             if (!Double.isNaN(share)) {
                 passes(c);
-                double seen = content(pushdown(share, false));
+                double seen = held(pushdown(share * asked, rate), size);
                 k = Math.min(total, Math.sqrt(k * Math.max(seen, least)));
             }
             hits *= 0.5;
@@ -414,27 +428,19 @@
             return up / (1 + up);
         }
 
-        double content(double mu) {
+        /** What the model expects to be there: by size the content, by rate the lookups that hit. */
+        double held(double mu, double[] by) {
             double sum = 0;
-            for (int i = 0; i < n; i++) sum += in(rate[i], mu, pass[i]) * came[i] * size[i];
+            for (int i = 0; i < n; i++) sum += in(rate[i], mu, pass[i]) * came[i] * by[i];
             return sum;
         }
 
-        private double hitShare(double mu) {
-            double sum = 0, all = 0;
-            for (int i = 0; i < n; i++) {
-                sum += rate[i] * in(rate[i], mu, pass[i]) * came[i];
-                all += rate[i];
-            }
-            return sum / all;
-        }
-
-        /** The pushdown rate at which content, or else the hit share, is the goal; both fall with mu. */
-        double pushdown(double goal, boolean byContent) {
+        /** The pushdown rate at which so much is held; it falls with mu. */
+        double pushdown(double goal, double[] by) {
             double low = -14, high = 14;                     // powers of e around one lookup a round
             for (int i = 0; i < HALVINGS; i++) {
                 double mid = (low + high) / 2, mu = Math.exp(mid);
-                if ((byContent ? content(mu) : hitShare(mu)) > goal) low = mid; else high = mid;
+                if (held(mu, by) > goal) low = mid; else high = mid;
             }
             return Math.exp((low + high) / 2);
         }
@@ -548,10 +554,7 @@
         }
     }
 
-    /**
-     * The share of fills that may be fetched from the origin; the rest take only what a parent holds. Keeps a
-     * slow or stopped origin from being driven deeper: failures of fills cut the share, calm restores it.
-     */
+    /** The share of fills that may be had from the origin; keeps a slow or stopped one from being driven. */
     private final class Behind {
         private static final double CUT = 0.6, CUT_EVERY_MS = 100, DOUBLES_MS = 500, LEAST = 0.02, ONCE = 3;
         private double share = 1, at, toldAt = Double.NEGATIVE_INFINITY;
@@ -578,8 +581,8 @@
         private static final double EARNED = 0.1, MOST = 10, NEVER_RAN = 0.25;
         private double left = MOST;
 
-        void handled() {
-            left = Math.min(MOST, left + EARNED);
+        void earn(double by) {
+            left = Math.min(MOST, left + by);
         }
 
         boolean affords(boolean neverRan) {
@@ -590,10 +593,7 @@
         }
     }
 
-    /**
-     * This director's part of what a cold node bears. However small, it lets whole lookups through, seldom,
-     * after a random phase; what is not used within a part of the span is lost, again by whole lookups.
-     */
+    /** This director's part of what a cold node bears, in whole lookups, each after a random phase. */
     private final class ColdBudgets {
         private static final double MARGIN = 0.6, SAVED = 0.3, LATELY_MS = 5000, LEARN = 0.2, IDLE = 0.1;
         private final ColdStart terms;
@@ -639,10 +639,7 @@
             if (!isCold(n)) bore = n.bears += LEARN * (n.carried / Math.max(IDLE, n.busy) - n.bears);
         }
 
-        /**
-         * This director's part of a link, in flows. Where untold, what it answered while warm over how busy
-         * it then was, or for a new node what its like did: known still when all of a place restart at once.
-         */
+        /** This director's part of a link, in flows; untold, what it bore warm, or what its like did. */
         private double link(Node n) {
             if (told.unitsAreLinks()) return n.units / directors;
             if (n.bears > 0) return n.bears;
@@ -694,8 +691,7 @@
             return sameGroup && now < ran.sentAt + l.w.rememberedMs();
         }
 
-        /** Rules 3 and 4 for a source. */
-        boolean mayFillFrom(Node n) {
+        boolean mayFillFrom(Node n) {                  // rules 3 and 4 for a source
             return n.standing == IN_SERVICE && coldOf(n).affords(n);
         }
 
@@ -712,12 +708,16 @@
             h.source = source;
             h.sentAt = now;
             h.heldOnly = source != n && source.tier == Node.PARENT
-                && !(health.usable(source) && behind.permits());
+                && (l.again || !(health.usable(source) && behind.permits()));
             h.fills = n.tier != Node.CACHE || source != n;
             if (h.fills) fills.add(1);
             coldOf(n).charge(n, work);
             if (source != n) h.sourceCharge = coldOf(source).charge(source, work);
             l.out++;
+            l.overdueAt = l.aim - 1.5 * l.ownMs;
+            if (l.hopCount == 1 && may.secondCopies() && overdue.left >= 1 && l.overdueAt > now) {
+                out.remind(l.overdueAt, OVERDUE + l.index);
+            }
             n.link.add(1);
             if (source != n) source.link.add(1);
             double bound = purges.bound(l), fresh = l.w.freshMs();
--- a/src/test/java/mothcross/ModelTest.java
+++ b/src/test/java/mothcross/ModelTest.java
@@ -40,7 +40,7 @@
             round(a, 0.5);
         }
         a.passes(a.c);
-        assertEquals(a.content(a.pushdown(a.k, true)) / a.k, 1, 1e-3);
+        assertEquals(a.held(a.pushdown(a.k, a.size), a.size) / a.k, 1, 1e-3);
     }
 
     @Test public void rankingStaysWhenANodeLeaves() {
@@ -81,7 +81,7 @@
             for (int key = 0; key < 50; key++) a.note(key, 1000);
             round(a, 0.5);
             a.passes(500);
-            content[i] = a.content(0.01);
+            content[i] = a.held(0.01, a.size);
         }
         assertTrue(content[1] > 2 * content[0], content[0] + " and " + content[1]);
     }
