--- a/src/main/java/mothcross/cli/FleetCommand.java
+++ b/src/main/java/mothcross/cli/FleetCommand.java
@@ -37,24 +37,26 @@
 
     @Spec private CommandSpec spec;
 
-    /** The member that the operators' part asks for, running. */
-    static FleetMember begin(Directors d, Start start, String relay, DoubleConsumer share) throws IOException {
+    /** The member that the operators' part asks for, before it begins. */
+    static FleetNode node(Directors d, Start start, String relay, long skewMs, DoubleConsumer share) {
         Pace u = Pace.USUAL;
         Pace pace = new Pace(d.periodMs(), 0.3 * d.periodMs(), u.helpers(), u.doubts(), u.rings(), u.lowShare(),
             u.highShare(), d.silentMs(), u.settle(), d.holdMs(), u.forget());
         int fixed = d.directors() > 0 ? d.directors() : start.opening.directorsHere;
         List<InetSocketAddress> seeds = d.seeds().stream().map(FleetCommand::socket).toList();
-        FleetNode n = new FleetNode(d.fleet(), start.name, socket(d.listen()), seeds, keys(d), d.file(), pace,
-            new Parts(fixed, d.leaseMs(), 4 * d.periodMs()), relay == null ? null : socket(relay), share);
-        n.begin();
-        return new FleetMember(n);
+        return new FleetNode(d.fleet(), start.name, socket(d.listen()), seeds, keys(d), d.file(), pace,
+            new Parts(fixed, d.leaseMs(), 4 * d.periodMs()), relay == null ? null : socket(relay), skewMs, share);
     }
 
-    /** What {@code serve} has to end. */
-    record FleetMember(FleetNode node) implements Main.AutoCloseableQuietly {
-        @Override public void close() {
-            node.close();
-        }
+    /** Says farewell before the director ends. */
+    static Main.Beside ending(FleetNode n) {
+        return new Main.Beside() {
+            @Override public void before() {
+                n.close();
+            }
+
+            @Override public void after() { }
+        };
     }
 
     static List<Wire.Key> keys(Directors d) {
@@ -72,26 +74,33 @@
     }
 
     /** Whom to ask, and with which key. */
-    private static final class Whom {
+    static final class Whom {
         @Option(names = "--operators", paramLabel = "FILE", required = true,
             description = "the operators' file, for the fleet's name and keys") private Path operators;
 
+        private Directors known;
+
         @Option(names = "--at", paramLabel = "HOST:PORT",
             description = "the director's address in the fleet (default: the file's)") private String at;
 
         JsonObject ask(String what) throws IOException, OperatorsFile.Unusable {
-            Directors d = OperatorsFile.read(operators).part(Part.FLEET);
+            return ask(what, new byte[0]);
+        }
+
+        JsonObject ask(String what, byte[] body) throws IOException, OperatorsFile.Unusable {
+            if (known == null) known = OperatorsFile.read(operators).part(Part.FLEET);
+            Directors d = known;
             if (d == null) throw new IOException("the file has no part fleet");
             InetSocketAddress to = socket(at == null ? d.listen() : at);
             try {
-                return JsonParser.parseString(Question.ask(to, d.fleet(), keys(d), what)).getAsJsonObject();
+                return JsonParser.parseString(Question.ask(to, d.fleet(), keys(d), what, body)).getAsJsonObject();
             } catch (IOException e) {
                 throw new IOException("no answer from " + to + ": " + e.getMessage(), e);
             }
         }
     }
 
-    private static int failed(Exception e) {
+    static int failed(Exception e) {
         return e instanceof OperatorsFile.Unusable u ? Main.plainly(u) : Main.plainly(e.getMessage());
     }
 
--- a/src/main/java/mothcross/cli/Main.java
+++ b/src/main/java/mothcross/cli/Main.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import mothcross.fleet.net.FleetNode;
 import mothcross.net.Life;
 import mothcross.net.Start;
+import mothcross.operators.Changes;
 import mothcross.operators.Directors;
 import mothcross.operators.OperatorsFile;
 import mothcross.operators.Part;
@@ -42,9 +44,10 @@
         static void add(CommandLine to) {
             to.addSubcommand(new ListCommand()).addSubcommand(new ExprCommand()).addSubcommand(new EmulateCommand())
                 .addSubcommand(new ExperimentCommand()).addSubcommand(new FleetCommand())
-                .addSubcommand(new RigCommand());
+                .addSubcommand(new PolicyCommand()).addSubcommand(new RigCommand());
             // Its own options are read by the tool itself, on the tools' loader.
             to.getSubcommands().get("experiment").setUnmatchedOptionsArePositionalParams(true);
+            to.getSubcommands().get("rig").getSubcommands().get("explore").setUnmatchedOptionsArePositionalParams(true);
         }
     }
 
@@ -79,15 +82,19 @@
             Remembering list = features == null ? null : features.part(Part.MEMBERSHIP);
             Start start = config == null ? null : Start.read(config, listen, list == null);
             return new Both(start, features, list, features == null ? null : features.part(Part.ROUTES),
-                features == null ? null : features.part(Part.FLEET));
+                features == null ? null : features.part(Part.FLEET), features == null ? null
+                : features.part(Part.POLICY));
         }
     }
 
-    private record Both(Start start, OperatorsFile features, Remembering list, Rules routes, Directors fleet) { }
+    private record Both(Start start, OperatorsFile features, Remembering list, Rules routes, Directors fleet,
+                        Changes changes) { }
 
-    /** What ends without a word. */
-    interface AutoCloseableQuietly extends AutoCloseable {
-        @Override void close();
+    /** What {@code serve} begins beside the director, and has to end: before it ends itself, and after. */
+    interface Beside {
+        default void before() { }
+
+        void after() throws InterruptedException;
     }
 
     static int plainly(OperatorsFile.Unusable e) {
@@ -109,7 +116,15 @@
             description = "of tests only: where messages to other directors go, led by their address")
         private String relay;
 
-        private volatile AutoCloseableQuietly fleet;
+        @Option(names = "--skew-ms", hidden = true, defaultValue = "0",
+            description = "of tests only: by how much its Unix clock is off for the fleet")
+        private long skewMs;
+
+        @Option(names = "--tell-plan", hidden = true,
+            description = "of tests only: answers name the plan that decided them")
+        private boolean tellsPlan;
+
+        private volatile Beside beside;
 
         @Override public Integer call() throws InterruptedException {
             try {
@@ -123,15 +138,19 @@
                 CountDownLatch serves = new CountDownLatch(1);
                 Signal.handle(new Signal("HUP"), s -> reload(life, serves));
                 try {
+                    if (both.changes != null) beside = PolicyCommand.begin(both.fleet, both.changes, start, life, relay,
+                        skewMs, tellsPlan, b -> beside = b);
                     life.begin();
                 } catch (java.io.IOException | Start.Unusable e) {
                     Runtime.getRuntime().removeShutdownHook(end);
                     return plainly(e instanceof Start.Unusable ? e.getMessage()
-                        : "can't listen on " + start.listen + ": " + e.getMessage());
+                        : "can't begin at " + start.listen + ": " + e.getMessage());
                 }
-                if (both.fleet != null) {
+                if (both.fleet != null && both.changes == null) {
                     try {
-                        fleet = FleetCommand.begin(both.fleet, start, relay, life::share);
+                        FleetNode n = FleetCommand.node(both.fleet, start, relay, skewMs, life::share);
+                        n.begin();
+                        beside = FleetCommand.ending(n);
                     } catch (java.io.IOException e) {
                         Runtime.getRuntime().removeShutdownHook(end);
                         return plainly("can't take part in the fleet at " + both.fleet.listen() + ": "
@@ -163,8 +182,10 @@
         /** The signal's own exit status is not ours: what was taken is answered, then it ends with 0. */
         private void end(Life life) {
             try {
-                if (fleet != null) fleet.close();
+                Beside b = beside;
+                if (b != null) b.before();
                 life.end();
+                if (b != null) b.after();
                 Runtime.getRuntime().halt(0);
             } catch (InterruptedException e) {
                 Runtime.getRuntime().halt(1);
--- a/src/main/java/mothcross/cli/RigCommand.java
+++ b/src/main/java/mothcross/cli/RigCommand.java
@@ -3,14 +3,22 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.DoubleAccumulator;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.LongStream;
 import mothcross.fleet.Pace;
+import mothcross.policy.Book;
 import mothcross.rig.FaultScript;
 import mothcross.rig.FleetRules;
+import mothcross.rig.PolicyPlay;
+import mothcross.rig.PolicyRules;
 import mothcross.rig.Real;
 import mothcross.rig.Virtual;
 import picocli.CommandLine.Command;
@@ -21,7 +29,7 @@
 
 /** {@code mothcross rig}: several directors, in virtual time or as real processes, with faults between them. */
 @Command(name = "rig", description = "Several directors with faults between them: real processes, or virtual time.",
-    mixinStandardHelpOptions = true)
+    mixinStandardHelpOptions = true, subcommands = RigCommand.Explore.class)
 final class RigCommand implements Callable<Integer> {
     private static final int OK = 0, BROKEN = 1, USAGE = 2;
 
@@ -38,6 +46,18 @@
         return r.broken.isEmpty() ? OK : BROKEN;
     }
 
+    private static int said(PolicyRules r) {
+        r.broken.forEach(System.out::println);
+        System.out.println(r.lookups + " lookups started, " + r.refused + " not decided; changes " + r.outcomes
+            + "; promises broken: " + r.broken.size());
+        return r.broken.isEmpty() ? OK : BROKEN;
+    }
+
+    /** Three voters, or five where there are as many directors and the seed is odd. */
+    private static PolicyPlay policy(FaultScript s, long seed) {
+        return PolicyPlay.play(s, 3000, seed % 2 == 0 ? 3 : 5, seed, null);
+    }
+
     private static FaultScript read(Path file) throws IOException {
         return FaultScript.of(Files.readString(file));
     }
@@ -49,7 +69,12 @@
         throws IOException, InterruptedException {
         try (Real r = new Real(read(script), seed, logs)) {
             r.play();
-            return said(r.check(), r.history.events.size());
+            r.said.forEach(System.out::println);
+            int state = said(r.check(), r.history.events.size());
+            if (!r.answers.isEmpty()) state = Math.max(state, said(r.policy));
+            String over = r.limits.broken();
+            if (over != null) System.out.println(over);
+            return over != null ? BROKEN : state;
         } catch (IllegalArgumentException e) {
             return Main.plainly(e.getMessage());
         }
@@ -60,6 +85,7 @@
     int replay(@Parameters(paramLabel = "SCRIPT") Path script, @Option(names = "--seed", defaultValue = "1") long seed,
                @Option(names = "--events", description = "prints every event") boolean events) throws IOException {
         try {
+            if (read(script).hasPolicy()) return said(policy(read(script), seed).rules);
             Virtual v = Virtual.play(read(script), Pace.USUAL, seed, null);
             if (events) v.history.events.forEach(e -> System.out.println(Math.round(e.at()) + " " + e.kind() + " "
                 + e.name() + (e.members().isEmpty() ? "" : " " + e.number() + " " + e.members()) + " " + e.text()));
@@ -89,8 +115,26 @@
     @Command(name = "drawn", description = "Plays histories drawn by chance in virtual time; those that break a "
         + "promise are printed by their seed.", mixinStandardHelpOptions = true)
     int drawn(@Option(names = "--histories", defaultValue = "1000") int histories,
-              @Option(names = "--from", paramLabel = "SEED", defaultValue = "1") long from) {
+              @Option(names = "--from", paramLabel = "SEED", defaultValue = "1") long from,
+              @Option(names = "--policy", description = "changes of the policy, not membership") boolean ofPolicy) {
         AtomicInteger bad = new AtomicInteger();
+        if (ofPolicy) {
+            AtomicLong starts = new AtomicLong(), overlaps = new AtomicLong();
+            Map<Book.Outcome, LongAdder> ends = new ConcurrentSkipListMap<>();
+            LongStream.range(from, from + histories).parallel().forEach(seed -> {
+                FaultScript s = FaultScript.drawnPolicy(new SplittableRandom(seed));
+                PolicyRules r = policy(s, seed).rules;
+                starts.addAndGet(r.lookups);
+                overlaps.addAndGet(r.overlaps);
+                r.outcomes.forEach((o, n) -> ends.computeIfAbsent(o, k -> new LongAdder()).add(n));
+                if (r.broken.isEmpty()) return;
+                bad.incrementAndGet();
+                System.out.println("# seed " + seed + ": " + r.broken.get(0) + "\n" + s);
+            });
+            System.out.println(histories + " histories, " + bad.get() + " break a promise; changes " + ends + "; "
+                + starts.get() + " starts of lookups, " + overlaps.get() + " of them within an overlap");
+            return bad.get() == 0 ? OK : BROKEN;
+        }
         DoubleAccumulator most = new DoubleAccumulator(Math::max, 0);
         LongStream.range(from, from + histories).parallel().forEach(seed -> {
             FaultScript s = FaultScript.drawn(new SplittableRandom(seed));
@@ -106,7 +150,18 @@
         return bad.get() == 0 ? OK : BROKEN;
     }
 
+    /** Handed on to the tool, which has libraries that a director does not. */
+    @Command(name = "explore", description = "Goes through every state of the policy's protocol within bounds.")
+    static final class Explore implements Callable<Integer> {
+        @Parameters(arity = "0..*", hidden = true) private List<String> args = List.of();
+
+        @Override public Integer call() throws Exception {
+            return Tools.run("mothcross.rig.explore.Explore", args.toArray(String[]::new));
+        }
+    }
+
     private static boolean fails(FaultScript s, long seed) {
+        if (s.hasPolicy()) return !policy(s, seed).rules.broken.isEmpty();
         return !Virtual.play(s, Pace.USUAL, seed, null).check().broken.isEmpty();
     }
 
--- a/src/main/java/mothcross/fleet/Member.java
+++ b/src/main/java/mothcross/fleet/Member.java
@@ -383,7 +383,7 @@
             case WHO -> {
                 if (m.seq() == 0) reply(m, Kind.HERE, "", false);
             }
-            case ADMIN -> { }                            // the edge's
+            case ADMIN, POLICY -> { }                    // the edge's
             case HERE -> {
                 if (rival != null && m.life() == rival.incarnation()) rivalAnswers(now);
             }
@@ -919,6 +919,14 @@
         return phase == Phase.IN && !apart && now >= steadyAt && Double.isNaN(mismatchSince) && hears;
     }
 
+    /** Where a name is reached, or was last; null where it is not known. */
+    public Address reached(String of) {
+        Peer p = peers.get(of);
+        if (p == null || p.fact == null && p.candidate == null) return null;
+        Fact f = p.latest();
+        return new Address(f.host(), f.port());
+    }
+
     /** Where each name of the view is reached, for the next start. */
     public List<Address> addresses() {
         List<Address> all = new ArrayList<>();
--- a/src/main/java/mothcross/fleet/net/FleetNode.java
+++ b/src/main/java/mothcross/fleet/net/FleetNode.java
@@ -44,10 +44,20 @@
  */
 public final class FleetNode implements Member.News, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("mothcross.fleet");
-    private static final int MOST_PEERS = 64, MOST_STREAMS = 16, STREAM_MS = 3000, KEEP_EVERY_MS = 10_000;
+    private static final int MOST_PEERS = 64, MOST_STREAMS = 64, STREAM_MS = 3000, KEEP_EVERY_MS = 10_000;
     private static final String FROM = "from", TO = "to", GOT = "got";
 
+    /** Who has what is no member's: messages about the policy, and the operators' questions on it. */
+    public interface Beside {
+        void heard(String from, byte[] body);
+
+        void refused(String host, int port);
+
+        String asked(String what, byte[] body);
+    }
+
     private final String fleet, name;
+    private volatile Beside beside;
     private final Wire wire;
     private final KeptFleet kept;
     private final Member member;
@@ -67,11 +77,15 @@
     private boolean stopped;
     private View keptView;
     private final List<String> keptBefore;
+    private final long firstLife;
 
-    /** {@code relay}: of tests only; all that is sent goes there, led by its address. */
+    /**
+     * Of tests only: {@code relay}, where all that is sent goes, led by its address; {@code skewMs}, by which its Unix
+     * clock is off.
+     */
     public FleetNode(String fleet, String name, InetSocketAddress listen, List<InetSocketAddress> seeds,
                      List<Wire.Key> keys, java.nio.file.Path file, Pace pace, Parts parts, InetSocketAddress relay,
-                     DoubleConsumer share) {
+                     long skewMs, DoubleConsumer share) {
         this.fleet = fleet;
         this.name = name;
         this.listen = listen;
@@ -91,11 +105,22 @@
             contacts.add(new Member.Address(a.substring(0, colon), Integer.parseInt(a.substring(colon + 1))));
         }
         // Higher than what was kept, and, where nothing was, than any drawn before by a clock that goes on.
-        long life = Math.max(k == null ? 0 : k.life() + 1, System.currentTimeMillis());
+        long life = Math.max(k == null ? 0 : k.life() + 1, System.currentTimeMillis() + skewMs);
+        firstLife = life;
         member = new Member(name, life, listen.getHostString(), listen.getPort(), contacts, pace,
             new SplittableRandom(), this, UnaryOperator.identity());
     }
 
+    /** To be set before it begins. */
+    public void beside(Beside b) {
+        beside = b;
+    }
+
+    /** The life that this process began with: higher than any before by its name, as far as is known. */
+    public long firstLife() {
+        return firstLife;
+    }
+
     public void begin() throws IOException {
         keep();
         in.setHandler(new Datagrams());
@@ -169,8 +194,9 @@
     private void sendAll(List<Message.Send> all) {
         for (Message.Send s : all) {
             byte[] b = wire.bytes(s.message());
-            if (s.message().kind() == Message.Kind.STATE) stream(s, b);
-            else if (b.length <= Wire.DATAGRAM) datagram(new InetSocketAddress(address(s.host()), s.port()), b);
+            InetSocketAddress to = new InetSocketAddress(address(s.host()), s.port());
+            if (s.message().kind() == Message.Kind.STATE) stream(to, b);
+            else if (b.length <= Wire.DATAGRAM) datagram(to, b);
             else unsendable++;
         }
     }
@@ -213,12 +239,30 @@
         return buffer.put(b).flip();
     }
 
-    private void stream(Message.Send s, byte[] b) {
+    /** What is not a member's to say; it may get lost, like any other. */
+    public void send(String to, byte[] body) {
+        lock.lock();
+        try {
+            Member.Address at = stopped ? null : member.reached(to);
+            if (at == null) {
+                unsendable++;
+                return;
+            }
+            byte[] b = wire.bytes(new Message(Message.Kind.POLICY, name, firstLife, listen.getHostString(),
+                listen.getPort(), to, 0, "", false, 0, 0, List.of(), null, body));
+            InetSocketAddress there = new InetSocketAddress(address(at.host()), at.port());
+            if (b.length <= Wire.DATAGRAM) datagram(there, b);
+            else stream(there, b);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void stream(InetSocketAddress to, byte[] b) {
         if (b.length > Wire.STREAM || streams.size() >= MOST_STREAMS) {
             unsendable++;
             return;
         }
-        InetSocketAddress to = new InetSocketAddress(address(s.host()), s.port());
         streamsOut.connect(relay != null ? relay : to).addListener(f -> {
             IoSession session = ((org.apache.mina.core.future.ConnectFuture) f).getSession();
             if (session == null) return;
@@ -230,21 +274,29 @@
     // ---- in ----
 
     private void heard(byte[] b, int length, boolean byStream, IoSession answers) {
+        Message others = null;
         lock.lock();
         try {
             Message m = wire.message(b, length, byStream);
             if (m == null || stopped) return;
-            if (m.kind() == Message.Kind.ADMIN) {
+            boolean asksBeside = m.kind() == Message.Kind.ADMIN && m.about().startsWith("policy ");
+            if (m.kind() == Message.Kind.POLICY && m.to().equals(name) || asksBeside) {
+                others = m;
+            } else if (m.kind() == Message.Kind.ADMIN) {
                 if (byStream) answer(m, answers);
-                return;
+            } else {
+                sendAll(member.heard(now(), m));
+                sooner.signal();
             }
-            sendAll(member.heard(now(), m));
-            sooner.signal();
         } catch (RuntimeException e) {
             LOG.error("fleet: a fault with a message", e);
         } finally {
             lock.unlock();
         }
+        Beside there = beside;
+        if (others == null || there == null) return;
+        if (others.kind() == Message.Kind.POLICY) there.heard(others.from(), others.body());
+        else if (byStream) answer(there.asked(others.about().substring(7), others.body()), answers);
     }
 
     private static byte[] taken(Object message) {
@@ -286,6 +338,8 @@
         } finally {
             lock.unlock();
         }
+        Beside there = beside;
+        if (there != null) there.refused(to.getHostString(), to.getPort());
     }
 
     /** One message a connection, its length before it. */
@@ -363,7 +417,10 @@
     // ---- the operators' questions ----
 
     private void answer(Message m, IoSession to) {
-        String text = m.about().startsWith("explain ") ? explain(m.about().substring(8)) : status();
+        answer(m.about().startsWith("explain ") ? explain(m.about().substring(8)) : status(), to);
+    }
+
+    private static void answer(String text, IoSession to) {
         byte[] b = text.getBytes(StandardCharsets.UTF_8);
         to.write(IoBuffer.allocate(b.length + 4).putInt(b.length).put(b).flip());
         to.closeOnFlush();
--- a/src/main/java/mothcross/fleet/net/Question.java
+++ b/src/main/java/mothcross/fleet/net/Question.java
@@ -17,9 +17,15 @@
     private Question() { }
 
     public static String ask(InetSocketAddress at, String fleet, List<Wire.Key> keys, String what) throws IOException {
+        return ask(at, fleet, keys, what, new byte[0]);
+    }
+
+    /** {@code body} goes along with the question, to whom it is for. */
+    public static String ask(InetSocketAddress at, String fleet, List<Wire.Key> keys, String what, byte[] body)
+        throws IOException {
         String from = "operator-" + Long.toHexString(new SplittableRandom().nextLong());
         Message m = new Message(Message.Kind.ADMIN, from, System.currentTimeMillis(), "127.0.0.1", 0, "", 0, what,
-            false, 0, 0, List.of(), null);
+            false, 0, 0, List.of(), null, body);
         byte[] b = new Wire(fleet, keys).bytes(m);
         try (Socket s = new Socket()) {
             s.setSoTimeout(PATIENCE_MS);
--- a/src/main/java/mothcross/fleet/net/Wire.java
+++ b/src/main/java/mothcross/fleet/net/Wire.java
@@ -22,10 +22,10 @@
 import mothcross.fleet.Message;
 
 /**
- * The form of a message on the wire, version 1, numbers big-endian, texts as a length of one byte and UTF-8:
+ * The form of a message on the wire, version 2, numbers big-endian, texts as a length of one byte and UTF-8:
  * <pre>
  * version:1 key:1 length:4 fleet count:8 kind:1 from life:8 host port:2 to seq:4 about heard:1 number:8 digest:8
- * items:2 each(type:1 ...) facts:4 each(name life:8 host port:2 standing:1 turn:2) checksum:16
+ * items:2 each(type:1 ...) facts:4 each(name life:8 host port:2 standing:1 turn:2) body:4 bytes checksum:16
  * </pre>
  * The length counts all; the checksum is the first half of HMAC-SHA-256 over what stands before it. {@code count}
  * grows with each message of a life, and none is taken twice. Owns the keys and the windows; what does not fit is
@@ -35,8 +35,8 @@
     public enum Dropped { SHORT, LONG, VERSION, LENGTH, KEY, CHECKSUM, FLEET, REPLAYED, MALFORMED }
 
     /** At most so many bytes in a datagram; a whole view goes by a stream. */
-    static final int DATAGRAM = 1400, STREAM = 1 << 20;
-    private static final int CHECKSUM = 16, VERSION = 1, MOST_SENDERS = 4096, LEAST = 60;
+    static final int DATAGRAM = 1400, STREAM = 4 << 20;
+    private static final int CHECKSUM = 16, VERSION = 2, MOST_SENDERS = 4096, LEAST = 64;
     private static final Message.Kind[] KINDS = Message.Kind.values();
     private static final Fact.Standing[] STANDINGS = Fact.Standing.values();
     private static final Item.Edge[] EDGES = Item.Edge.values();
@@ -121,6 +121,8 @@
             for (Item i : m.items()) item(out, i);
             out.writeInt(m.state() == null ? -1 : m.state().size());
             if (m.state() != null) for (Fact f : m.state()) fact(out, f);
+            out.writeInt(m.body().length);
+            out.write(m.body());
         } catch (IOException e) {
             throw new UncheckedIOException(e);          // memory only
         }
@@ -235,7 +237,14 @@
         int facts = in.getInt();
         List<Fact> state = facts < 0 ? null : new ArrayList<>();
         for (int i = 0; i < facts; i++) state.add(fact(in));
-        return new Message(kind, from, life, host, port, to, seq, about, heard, number, digest, items, state);
+        int length = in.getInt();
+        if (length < 0 || length > in.remaining()) throw new IllegalArgumentException("body");
+        if (length == 0) {
+            return new Message(kind, from, life, host, port, to, seq, about, heard, number, digest, items, state);
+        }
+        byte[] body = new byte[length];
+        in.get(body);
+        return new Message(kind, from, life, host, port, to, seq, about, heard, number, digest, items, state, body);
     }
 
     private static String text(ByteBuffer in) {
--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -30,6 +30,7 @@
     private static final double BEYOND = 10;
 
     private Lookup lookup;
+    private long plan = -1;                             // that the latest lookup is decided by
     private boolean close, ending, proven, suspended, suspected;
     private int scanned, passedOver, awaits;
     private double idleSince;
@@ -184,7 +185,7 @@
         repeat = false;
         usable = true;
         seen = 0;
-        if (desk.routing != null) desk.routing.headBegins();
+        if (desk.rules != null) desk.rules.headBegins();
         int eol = Bytes.find(bytes, from, end, '\n');
         if (eol == from || bytes[eol - 1] != '\r') return "400 Bad Request";
         int a = Bytes.find(bytes, from, eol, ' '), b = a < 0 ? -1 : Bytes.find(bytes, a + 1, eol, ' ');
@@ -230,7 +231,7 @@
     }
 
     private void field(int name, int nameEnd, int v, int e) {
-        if (desk.routing != null) desk.routing.field(bytes, name, nameEnd, v, e);
+        if (desk.rules != null) desk.rules.field(bytes, name, nameEnd, v, e);
         if (Bytes.isWord(bytes, name, nameEnd, "connection")) {
             close = Bytes.isWord(bytes, v, e, "close") || close && !Bytes.isWord(bytes, v, e, "keep-alive");
         } else if (Bytes.isWord(bytes, name, nameEnd, "req-id")) {
@@ -269,7 +270,7 @@
         double now = desk.clock();
         if (Bytes.is(bytes, target, targetEnd, HEALTHY)) {
             proven = true;
-            if (desk.ready) write(whole("200 OK", "", "ready\n"));
+            if (desk.ready && desk.mayStart()) write(whole("200 OK", "", "ready\n"));
             else write(whole("503 Service Unavailable", "", "not ready\n"));
             return;
         }
@@ -302,16 +303,25 @@
             .append(Bytes.text(bytes, b + 1, objectEnd));
         if (parted) asked.append(",slice=").append(part);
         if (known >= 0) asked.append(",known=").append(Bytes.text(bytes, known, knownEnd));
+        plan = -1;
+        if (!desk.mayStart()) {
+            proven = true;
+            desk.count.notCurrent++;
+            write(whole("503 Service Unavailable", advice(desk.current.comeBackAfter()), ""));
+            return;
+        }
         byte[] body = Arrays.copyOfRange(bytes, bodyAt, bodyAt + (int) bodyLength);
         Lookup l = new Lookup(this, Arrays.copyOfRange(bytes, id, idEnd), Bytes.of(asked.toString()), body,
             Bytes.hex(bytes, b + 1, objectEnd) & Long.MAX_VALUE, (int) group,
             now + (Double.isNaN(wait) ? w.abandonMs() : wait), desk.mostHops());
         int as = workload;
         Narrowing by = null;
-        if (desk.routing != null) {
-            desk.routing.target(bytes, target, targetEnd, a, b, b + 1, objectEnd);
-            desk.routing.told(this, parted, part, group, sizeKb, wait, repeat);
-            RouteTable.Outcome o = desk.routing.route(workload, desk.mostHops(), now);
+        Routing rules = desk.rules == null ? null : desk.rules.of(l.object);
+        if (desk.rules != null) plan = desk.rules.plan();
+        if (rules != null) {
+            rules.target(bytes, target, targetEnd, a, b, b + 1, objectEnd);
+            rules.told(this, parted, part, group, sizeKb, wait, repeat);
+            RouteTable.Outcome o = rules.route(workload, desk.mostHops(), now);
             if (o.status != 0) {
                 proven = true;
                 write(whole(status(o.status), advice(Math.min(o.comeBackAfter, desk.opening.longestWaitMs)), ""));
@@ -361,6 +371,7 @@
         }
         if (h.tag != null) s.append("ETag: \"").append(h.tag).append("\"\r\n");
         if (close) s.append("Connection: close\r\n");
+        s.append(byPlan());
         byte[] head = Bytes.of(s.append("\r\n").toString());
         // The head goes right before the bytes, so that both leave in one write.
         int at = NodeConnection.HEAD_ROOM - head.length;
@@ -375,6 +386,11 @@
         answered(whole("503 Service Unavailable", advice(comeBackAfter), ""));
     }
 
+    /** Of tests only: by which plan the lookup that is being answered was decided. */
+    private String byPlan() {
+        return desk.tellsPlan && plan >= 0 ? "Policy-Plan: " + plan + "\r\n" : "";
+    }
+
     private static String advice(double comeBackAfter) {
         return comeBackAfter >= 1 ? "Srv-Wait-Ms: " + (long) comeBackAfter + "\r\n" : "";
     }
@@ -392,7 +408,7 @@
     private IoBuffer whole(String status, String fields, String body) {
         close |= desk.crowding();
         String end = close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
-        return IoBuffer.wrap(Bytes.of("HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: "
+        return IoBuffer.wrap(Bytes.of("HTTP/1.1 " + status + "\r\n" + fields + byPlan() + "Content-Length: "
             + body.length() + end + body));
     }
 
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -45,7 +45,9 @@
     private final Map<Long, Lookup> open = new HashMap<>();
     final Nodes nodes = new Nodes();
     final AnswerTimes answerTimes;
-    Routing routing;                                    // null where the operators have no routes
+    Rulebook rules;                                     // null where the operators have no routes
+    Current current;                                    // null where nobody else decides what is in force
+    boolean tellsPlan;                                  // of tests only
     private Witness witness;                            // null where nobody wants to know
     // Every connection to a node that is up or on its way; each takes itself out when it ends.
     final Set<NodeConnection> connections = new LinkedHashSet<>();
@@ -135,6 +137,11 @@
 
     // ---- lookups ----
 
+    /** Whether this director is sure enough to be up to date to decide what starts now. */
+    boolean mayStart() {
+        return current == null || current.mayStart();
+    }
+
     /** False where a lookup of this id is open already. */
     boolean lookup(Lookup l, int workload, int part, double sizeKb, boolean repeat, Narrowing by) {
         if (open.putIfAbsent(l.number, l) != null) return false;
--- a/src/main/java/mothcross/net/Life.java
+++ b/src/main/java/mothcross/net/Life.java
@@ -12,6 +12,7 @@
 import mothcross.Workload;
 import mothcross.membership.WritePlan;
 import mothcross.operators.Remembering;
+import mothcross.policy.Plan;
 import mothcross.route.RouteTable;
 import mothcross.route.Rules;
 import org.apache.mina.core.service.IoProcessor;
@@ -127,9 +128,9 @@
     public void begin() throws IOException, Start.Unusable {
         RouteTable table = table(routes, start, null);
         if (table != null) {
-            desk.routing = new Routing();
-            desk.routing.share(share);
-            desk.routing.take(table);
+            desk.rules = new Rulebook(start.name);
+            desk.rules.share(share);
+            desk.rules.take(null, table, null);
         }
         desk.enter();
         try {
@@ -183,10 +184,33 @@
     public void share(double times) {
         desk.locked(() -> {
             share = times;
-            if (desk.routing != null) desk.routing.share(times);
+            if (desk.rules != null) desk.rules.share(times);
         });
     }
 
+    /** Before it begins: somebody else says whether it is up to date, and brings its tables. */
+    public void follows(Current current, boolean tellsPlan) {
+        desk.locked(() -> {
+            desk.current = current;
+            desk.tellsPlan = tellsPlan;
+            desk.rules = new Rulebook(start.name);
+            desk.rules.share(share);
+        });
+    }
+
+    /** Rules made ready for what this director is told; null with their faults. */
+    public RouteTable compiled(Rules rules, List<String> faults) {
+        RouteTable[] before = new RouteTable[1];
+        desk.locked(() -> before[0] = desk.rules == null ? null : desk.rules.table());
+        return RouteTable.compile(rules, start.opening.workloads, start.opening.all, start.opening.directorsHere,
+            start.mostHops, before[0], faults);
+    }
+
+    /** From the next lookup on; those under way keep what they began with. */
+    public void take(Plan plan, RouteTable main, RouteTable trial) {
+        desk.locked(() -> desk.rules.take(plan, main, trial));
+    }
+
     /** SIGHUP: takes over what another file tells, under load; nothing that is open is touched. */
     public void reload(Start anew) {
         try {
@@ -199,7 +223,8 @@
     /** The same with the operators' file read anew; what switches a feature on or off waits for the next start. */
     public void reload(Start anew, Remembering features, Rules rules) throws Start.Unusable {
         // All is compiled first; a lookup under way keeps what it came under, the next one meets the new table whole.
-        RouteTable table = table(rules, start, desk.routing == null ? null : desk.routing.table());
+        boolean own = desk.current == null;                 // else its tables come from the fleet
+        RouteTable table = own ? table(rules, start, desk.rules == null ? null : desk.rules.table()) : null;
         List<InetSocketAddress> old = List.of(start.listen);
         boolean moves = !anew.listen.equals(start.listen);
         if (moves) {
@@ -214,12 +239,12 @@
             boolean waits = remembering == null != (features == null) || features != null
                 && !(features.file().equals(remembering.file()) && features.fleet().equals(remembering.fleet()));
             routes = rules;
-            if (table == null) desk.routing = null;
-            else if (desk.routing == null) {
-                desk.routing = new Routing();
-                desk.routing.share(share);
+            if (own && table == null) desk.rules = null;
+            if (table != null) {
+                if (desk.rules == null) desk.rules = new Rulebook(start.name);
+                desk.rules.share(share);
+                desk.rules.take(null, table, null);
             }
-            if (table != null) desk.routing.take(table);
             boolean others = waits || !anew.settings.equals(start.settings);
             if (!waits && features != null && !features.equals(remembering)) {
                 remembered.takes(features.ages(), new WritePlan(features.urgentMs(), features.gatherMs()));
@@ -263,7 +288,7 @@
     private void log() {
         Runtime r = Runtime.getRuntime();
         LOG.info("{}{}; open {}, clients {}, nodes {}, bells {}, heap {} MB", desk.count.line(),
-            (remembered == null ? "" : remembered.line()) + (desk.routing == null ? "" : desk.routing.table().line()),
+            (remembered == null ? "" : remembered.line()) + (desk.rules == null ? "" : desk.rules.line()),
             desk.openLookups(), desk.clients(), desk.nodes.size(), desk.bells.size(),
             (r.totalMemory() - r.freeMemory()) >> 20);
     }
--- a/src/main/java/mothcross/operators/OperatorsFile.java
+++ b/src/main/java/mothcross/operators/OperatorsFile.java
@@ -55,6 +55,17 @@
         return e.text();
     }
 
+    /** A text of the fleet's policy, evaluated: only parts that all directors share may stand in it. */
+    public static OperatorsFile policy(String what, String json) throws Unusable {
+        OperatorsFile all = of(Path.of(what), json);
+        List<String> faults = new ArrayList<>();
+        for (Part<?> p : all.parts.keySet()) {
+            if (!Part.SHARED.contains(p)) faults.add(p.name() + " is each director's own and stays in its file");
+        }
+        if (!faults.isEmpty()) throw new Unusable(Path.of(what), faults);
+        return all;
+    }
+
     static OperatorsFile of(Path file, String json) throws Unusable {
         List<String> faults = new ArrayList<>();
         OperatorsFile all = new OperatorsFile();
@@ -73,6 +84,11 @@
             s.end();
         }
         top.end();
+        boolean both = all.parts.containsKey(Part.POLICY) && all.parts.containsKey(Part.ROUTES);
+        if (both) faults.add("routes come by mothcross policy propose where policy is set: take them out of this file");
+        if (all.parts.containsKey(Part.POLICY) && !all.parts.containsKey(Part.FLEET)) {
+            faults.add("policy needs the part fleet: directors talk by it");
+        }
         all.effective = top.effective();
         if (!faults.isEmpty()) throw new Unusable(file, faults);
         return all;
--- a/src/main/java/mothcross/operators/Part.java
+++ b/src/main/java/mothcross/operators/Part.java
@@ -14,5 +14,9 @@
 
     public static final Part<Directors> FLEET = new Part<>("fleet", Directors.class, Directors::read);
 
-    static final List<Part<?>> ALL = List.of(MEMBERSHIP, ROUTES, FLEET);
+    public static final Part<Changes> POLICY = new Part<>("policy", Changes.class, Changes::read);
+
+    static final List<Part<?>> ALL = List.of(MEMBERSHIP, ROUTES, FLEET, POLICY);
+    /** Those that a change of the fleet's policy may hold. */
+    static final List<Part<?>> SHARED = List.of(ROUTES);
 }
--- /dev/null
+++ b/src/main/java/mothcross/policy/Voter.java
@@ -0,0 +1,81 @@
+package mothcross.policy;
+
+import java.util.Set;
+
+/**
+ * A voter of the register: single-decree consensus of Lamport's Paxos, written over and over as CASPaxos does. Owns
+ * what it has promised and accepted; that is on disk, whole and synced, before any word of it leaves. Must never go
+ * back in turns, nor answer under a mark that was not drawn with its disk.
+ */
+public final class Voter {
+    /** All that it must remember; a new disk has a new mark and nothing else. */
+    public record State(String mark, Turn promised, Turn acceptedAt, Book accepted) {
+        public static State blank(String mark) {
+            return new State(mark, Turn.NONE, Turn.NONE, null);
+        }
+    }
+
+    /** Either an answer that needs nothing kept, or what has to be kept first. */
+    public record Step(Said now, State keep) { }
+
+    private final String name;
+    private final Set<String> founders;
+    // What is on disk, and what will be: the next word is by the latter.
+    private State state, latest;
+
+    public Voter(String name, Set<String> founders, State kept) {
+        this.name = name;
+        this.founders = founders;
+        this.state = this.latest = kept;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    public Step on(Said.Prepare p) {
+        // Nothing decided, and other founders than this one's file names: two fleets, or a file that is not everywhere.
+        boolean other = !p.founders().isEmpty() && !p.founders().equals(founders);
+        if (latest.accepted() == null && other) return new Step(null, null);
+        if (p.turn().compareTo(latest.promised()) < 0) return late(p.turn());
+        return keep(new State(latest.mark(), p.turn(), latest.acceptedAt(), latest.accepted()));
+    }
+
+    public Step on(Said.Accept a) {
+        if (a.turn().compareTo(latest.promised()) < 0) return late(a.turn());
+        return keep(new State(latest.mark(), a.turn(), a.turn(), a.book()));
+    }
+
+    private Step keep(State s) {
+        latest = s;
+        return new Step(null, s);
+    }
+
+    private Step late(Turn t) {
+        return new Step(new Said.Late(t, latest.promised()), null);
+    }
+
+    /** What was to be kept may not be on disk: as if the message had never come. */
+    void unsynced() {
+        latest = state;
+    }
+
+    /** What was to be kept is on disk. */
+    public Said.Receipt synced(State kept) {
+        state = kept;
+        if (latest.promised().compareTo(kept.promised()) < 0) latest = kept;
+        return new Said.Receipt(kept);
+    }
+
+    /**
+     * Whether a director may go on under a plan, for as long as a lease from when it asked. Of what was accepted and
+     * what is known to be decided the later speaks: whatever may have been decided by most, one of them says no.
+     */
+    public Said.YouMay on(Said.MayI m, String who, Book decided) {
+        Book a = latest.accepted();
+        Book b = a == null || decided != null && decided.revision() >= a.revision() ? decided : a;
+        boolean yes = b != null && b.whole() && b.plan().number() == m.plan() && b.voters().number() == m.voters()
+            && b.voters().has(name, state.mark()) && b.seats(who, m.life());
+        return new Said.YouMay(m.number(), state.mark(), yes, b == null ? 0 : b.revision());
+    }
+}
--- /dev/null
+++ b/src/main/java/mothcross/policy/Voters.java
@@ -0,0 +1,40 @@
+package mothcross.policy;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Who decides: a fixed, numbered set. A voter is its name and its mark, drawn when its disk was first written: one whose
+ * disk is gone comes back under another mark, and counts no more. Number 0 is what the operators' files name, before
+ * any mark is known: there all have to agree, not only most.
+ */
+public record Voters(long number, Map<String, String> marks) {
+    public Voters {
+        marks = Collections.unmodifiableMap(new TreeMap<>(marks));
+    }
+
+    /** As the operators' files name them. */
+    public static Voters named(Iterable<String> names) {
+        Map<String, String> all = new TreeMap<>();
+        for (String n : names) all.put(n, "");
+        return new Voters(0, all);
+    }
+
+    public Set<String> names() {
+        return marks.keySet();
+    }
+
+    public boolean has(String name, String mark) {
+        String m = marks.get(name);
+        return m != null && (number == 0 || m.equals(mark));
+    }
+
+    /** Whether these answers, by name the mark that came with each, are enough. */
+    boolean enough(Map<String, String> answered) {
+        int n = 0;
+        for (Map.Entry<String, String> e : answered.entrySet()) if (has(e.getKey(), e.getValue())) n++;
+        return number == 0 ? n == marks.size() : 2 * n > marks.size();
+    }
+}
--- a/src/main/java/mothcross/rig/FaultScript.java
+++ b/src/main/java/mothcross/rig/FaultScript.java
@@ -20,20 +20,34 @@
      * and starts it again on what it kept, FORGET on nothing, MOVE at a new address; TWIN starts another process by
      * its name; LEAVE asks it to end; LOSS loses this share of messages (of those from and to whom), SLOW handles them
      * so many times as slowly, DELAY adds so many ms; CUT drops what WHOM sends to TO; FLAP cuts and mends each
-     * {@code by} ms, both ways; OLD sends again what was sent before.
+     * {@code by} ms, both ways; OLD sends again what was sent before; SKEW has the Unix clock off by so many ms from the
+     * next start on; REFUSE has the disk refuse to write. LOOKUPS asks so many lookups a second of each. Of the policy:
+     * PROPOSE has a director propose text number {@code by}, to be through in {@code lasts} ms, STOP the same in that
+     * mode, TRIAL first for a part; PROMOTE and ABORT whatever is under way, LEASES turns them on (by 1) or off.
      */
-    public enum What { PAUSE, KILL, VANISH, RESTART, FORGET, MOVE, TWIN, LEAVE, LOSS, SLOW, DELAY, CUT, FLAP, OLD }
+    public enum What { PAUSE, KILL, VANISH, RESTART, FORGET, MOVE, TWIN, LEAVE, LOSS, SLOW, DELAY, CUT, FLAP, OLD, SKEW,
+        REFUSE, LOOKUPS, PROPOSE, STOP, TRIAL, PROMOTE, ABORT, LEASES }
+
+    private static final java.util.Set<What> OF_POLICY = java.util.EnumSet.range(What.REFUSE, What.LEASES);
+
+    /** Whether directors are to agree on their policy in it. */
+    public boolean hasPolicy() {
+        return lines.stream().anyMatch(l -> OF_POLICY.contains(l.what) && l.what != What.LOOKUPS);
+    }
 
     public final int members;
     public final double ends;
+    /** A limit that all directors share, in lookups a second; 0: none. */
+    public final double limit;
     public final List<Line> lines = new ArrayList<>();
 
-    private FaultScript(int members, double ends) {
+    private FaultScript(int members, double ends, double limit) {
         this.members = members;
         this.ends = ends;
+        this.limit = limit;
     }
 
-    /** {@code members N for MS} first, then a line a fault; throws with the line's number where one can't be read. */
+    /** {@code members N for MS [limit PER_S]} first, then a line a fault; throws with the line's number where one can't be read. */
     public static FaultScript of(String text) {
         FaultScript s = null;
         int number = 0;
@@ -45,7 +59,8 @@
                 String[] p = line.split(" +");
                 if (s == null) {
                     if (!p[0].equals("members") || !p[2].equals("for")) throw new IllegalArgumentException("first");
-                    s = new FaultScript(Integer.parseInt(p[1]), Double.parseDouble(p[3]));
+                    s = new FaultScript(Integer.parseInt(p[1]), Double.parseDouble(p[3]),
+                        p.length > 5 && p[4].equals("limit") ? Double.parseDouble(p[5]) : 0);
                 } else {
                     s.add(p, line);
                 }
@@ -88,14 +103,15 @@
     }
 
     public FaultScript without(int line) {
-        FaultScript s = new FaultScript(members, ends);
+        FaultScript s = new FaultScript(members, ends, limit);
         s.lines.addAll(lines);
         s.lines.remove(line);
         return s;
     }
 
     @Override public String toString() {
-        StringBuilder s = new StringBuilder("members " + members + " for " + Math.round(ends) + "\n");
+        StringBuilder s = new StringBuilder("members " + members + " for " + Math.round(ends)
+            + (limit > 0 ? " limit " + limit : "") + "\n");
         for (Line l : lines) s.append(l.text).append('\n');
         return s.toString();
     }
@@ -131,6 +147,48 @@
         return of(s.toString());
     }
 
+    /** The same for changes of the policy: some of them, with faults around, then quiet until all must have ended. */
+    public static FaultScript drawnPolicy(SplittableRandom r) {
+        int n = 3 + r.nextInt(5), faults = r.nextInt(6), changes = 1 + r.nextInt(3);
+        boolean leases = r.nextInt(3) == 0, forgot = false;
+        StringBuilder s = new StringBuilder("members " + n + " for 120000\n");
+        if (leases) s.append("3000 leases 0 by 1 for 5000\n");
+        for (int i = 0; i < changes; i++) {
+            String what = leases && r.nextBoolean() ? "stop " : r.nextInt(4) == 0 ? "trial " : "propose ";
+            int at = 8000 + r.nextInt(30_000);
+            s.append(at).append(' ').append(what).append(r.nextInt(n)).append(" by ").append(1 + r.nextInt(4))
+                .append(" for ").append(9000 + r.nextInt(10_000)).append('\n');
+            if (what.startsWith("trial")) {
+                s.append(at + 2000 + r.nextInt(8000)).append(r.nextBoolean() ? " promote " : " abort ")
+                    .append(r.nextInt(n)).append('\n');
+            }
+        }
+        for (int i = 0; i < faults; i++) {
+            int a = r.nextInt(n), b = (a + 1 + r.nextInt(n - 1)) % n, lasts = 200 + r.nextInt(12_000);
+            int kind = r.nextInt(12);
+            // Voters are the first three or five: more than one new disk among them may be a quorum gone for good.
+            if (kind == 2 && a < 5) kind = forgot ? 1 : 2;
+            forgot |= kind == 2 && a < 5;
+            String line = switch (kind) {
+                case 0 -> "pause " + a + " for " + lasts;
+                case 1 -> "restart " + a + " for " + lasts / 3;
+                case 2 -> "forget " + a + " for " + lasts / 3;
+                case 3 -> "restart 0-" + r.nextInt(n) + " for 2000";
+                case 4 -> "loss all by 0." + (1 + r.nextInt(3)) + " for " + lasts;
+                case 5 -> "cut " + a + " to " + b + " for " + lasts;
+                case 6 -> "cut " + a + " to all for " + lasts;
+                case 7 -> "cut all to " + a + " for " + lasts;
+                case 8 -> "delay all by " + (20 + r.nextInt(400)) + " for " + lasts;
+                case 9 -> "refuse " + a + " for " + lasts;
+                case 10 -> "pause 0-" + r.nextInt(n) + " for " + lasts;
+                default -> "cut " + a + " to all for " + lasts + "\n" + (8000 + r.nextInt(20_000)) + " cut all to " + a
+                    + " for " + lasts;
+            };
+            s.append(6000 + r.nextInt(36_000)).append(' ').append(line).append('\n');
+        }
+        return of(s.toString());
+    }
+
     /** The shortest script that still fails: lines are left out one by one for as long as it does. */
     public FaultScript shrunk(java.util.function.Predicate<FaultScript> fails, Consumer<String> progress) {
         FaultScript least = this;
--- /dev/null
+++ b/src/main/java/mothcross/rig/PolicyPlay.java
@@ -0,0 +1,393 @@
+package mothcross.rig;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import mothcross.policy.Change;
+import mothcross.policy.Holder;
+import mothcross.policy.Move;
+import mothcross.policy.Party;
+import mothcross.policy.Plan;
+import mothcross.policy.Said;
+import mothcross.policy.Voter;
+
+/**
+ * Changes of the policy among directors in virtual time: the parties as they serve, disks whose syncs take time and
+ * may be cut, links as the script says. Owns the clock, the links and the disks; a play is decided by its script and
+ * seed, to the byte. What is seen goes to {@link PolicyRules}, which judges it.
+ */
+public final class PolicyPlay {
+    /** Stands between the play and a director: tests plant faults here. */
+    public interface Spoils {
+        /** What it hears of this; null: nothing. */
+        default Said hears(String who, String from, Said s) {
+            return s;
+        }
+
+        /** What is on its disk after this write, once it has crashed. */
+        default Voter.State keeps(Voter.State before, Voter.State written) {
+            return written;
+        }
+
+        /** What holds for its lease and waits, in ms, of what the fleet says. */
+        default boolean mayStart(Party p, double now) {
+            return p.holder().stopped(now) == Holder.Stopped.NO;
+        }
+    }
+
+    private record Due(double at, long order, Runnable what) implements Comparable<Due> {
+        @Override public int compareTo(Due o) {
+            int c = Double.compare(at, o.at);
+            return c != 0 ? c : Long.compare(order, o.order);
+        }
+    }
+
+    private static final class Disk {
+        Voter.State voter;
+        mothcross.policy.Book book;
+        final Map<String, byte[]> texts = new LinkedHashMap<>();
+        boolean refuses;
+    }
+
+    /** One director over its lives. */
+    private final class Node {
+        final int index;
+        final String name;
+        Disk disk = new Disk();
+        Party party;                                        // null while it is down
+        long life = 1000, deciding = -1;
+        int process;
+        double pausedUntil, busyUntil;
+        boolean writing;
+        final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+
+        Node(int index) {
+            this.index = index;
+            this.name = "n" + index;
+        }
+
+        void starts() {
+            life++;
+            process++;
+            writing = false;
+            deciding = -1;
+            waiting.clear();
+            if (disk.voter == null) disk.voter = Voter.State.blank("m" + marks++);
+            party = new Party(name, life, "h", 1000 + index, voters, voters, lease, disk.voter, disk.voter.mark(),
+                disk.book, disk.texts, chance.split());
+            rules.starts(now, name);
+            ticks(process);
+        }
+
+        void ends() {
+            party = null;
+            process++;
+            waiting.clear();
+        }
+
+        void ticks(int of) {
+            if (of != process) return;
+            does(() -> party.tick(now));
+            in(Math.max(5, party.next() - now), () -> ticks(of));
+        }
+
+        /** What comes while it is paused, or waits for its disk, comes after. */
+        void does(Runnable what) {
+            if (party == null) return;
+            if (writing || now < pausedUntil || !waiting.isEmpty()) {
+                waiting.add(what);
+                if (!writing && now < pausedUntil && waiting.size() == 1) {
+                    int of = process;
+                    in(pausedUntil - now, () -> goesOn(of));
+                }
+                return;
+            }
+            what.run();
+            works(new ArrayDeque<>(party.works()));
+        }
+
+        void goesOn(int of) {
+            if (of != process || writing) return;
+            if (now < pausedUntil) {
+                in(pausedUntil - now, () -> goesOn(of));
+                return;
+            }
+            while (!waiting.isEmpty() && !writing && party != null) {
+                waiting.poll().run();
+                works(new ArrayDeque<>(party.works()));
+            }
+        }
+
+        /** One after the other; a write holds up what comes after it, and what would be sent. */
+        void works(ArrayDeque<Party.Work> all) {
+            while (!all.isEmpty()) {
+                Party.Work w = all.poll();
+                if (w instanceof Party.KeepVoter k) {
+                    syncs++;
+                    writing = true;
+                    int of = process;
+                    written = k.state();
+                    in(SYNC_LEAST + SYNC_MORE * chance.nextDouble(), () -> synced(of, k, all));
+                    return;
+                } else if (w instanceof Party.KeepBook k) {
+                    disk.book = k.book();
+                } else if (w instanceof Party.Check c) {
+                    int of = process;
+                    in(CHECK_LEAST + CHECK_MORE * chance.nextDouble(), () -> {
+                        if (of != process) return;
+                        does(() -> checked(c));
+                    });
+                } else if (w instanceof Party.Drop d) {
+                    disk.texts.remove(d.digest());
+                } else if (w instanceof Party.Take t) {
+                    deciding = t.plan().number();
+                    rules.knows(now, name, party.known());
+                    rules.takes(now, name, t.plan());
+                }
+                if (all.isEmpty()) all.addAll(party.works());
+            }
+            rules.knows(now, name, party.known());
+            for (Party.Send s : party.sends()) carry(this, s);
+            mostTexts = Math.max(mostTexts, disk.texts.size());
+        }
+
+        Voter.State written;
+
+        void synced(int of, Party.KeepVoter k, ArrayDeque<Party.Work> left) {
+            if (of != process) return;
+            if (now < pausedUntil) {
+                in(pausedUntil - now, () -> synced(of, k, left));
+                return;
+            }
+            writing = false;
+            if (disk.refuses) {
+                party.notSynced();
+            } else {
+                disk.voter = spoils.keeps(disk.voter, k.state());
+                party.synced(now, k.state());
+            }
+            ArrayDeque<Party.Work> all = new ArrayDeque<>(left);
+            all.addAll(party.works());
+            works(all);
+            goesOn(of);
+        }
+
+        void checked(Party.Check c) {
+            boolean no = new String(c.bytes(), StandardCharsets.UTF_8).contains("refused by " + name);
+            if (!no) disk.texts.put(c.digest(), c.bytes());
+            party.checked(now, c.digest(), c.bytes(), no ? "can't be compiled here" : null);
+        }
+
+        boolean mayStart() {
+            return party != null && now >= pausedUntil && deciding >= 0 && spoils.mayStart(party, now);
+        }
+    }
+
+    private static final double SYNC_LEAST = 1, SYNC_MORE = 5, CHECK_LEAST = 5, CHECK_MORE = 15, LOOKS_EVERY = 40;
+
+    public final PolicyRules rules = new PolicyRules(true);
+    public long sent, bytes, syncs;
+    public int mostTexts;
+    private final FaultScript script;
+    private final Spoils spoils;
+    private final SplittableRandom chance;
+    private final double lease;
+    private final Set<String> voters = new TreeSet<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>();
+    private final List<double[]> losses = new ArrayList<>();
+    private final List<int[]> cuts = new ArrayList<>();
+    private double now, delayed;
+    private long orders;
+    private int marks = 1, proposals;
+
+    private PolicyPlay(FaultScript script, double lease, int voters, long seed, Spoils spoils) {
+        this.script = script;
+        this.lease = lease;
+        this.spoils = spoils == null ? new Spoils() { } : spoils;
+        chance = new SplittableRandom(seed);
+        for (int i = 0; i < Math.min(voters, script.members); i++) this.voters.add("n" + i);
+    }
+
+    public static PolicyPlay play(FaultScript script, double lease, int voters, long seed, Spoils spoils) {
+        PolicyPlay p = new PolicyPlay(script, lease, voters, seed, spoils);
+        for (int i = 0; i < script.members; i++) {
+            Node n = p.new Node(i);
+            p.nodes.add(n);
+            p.in(p.chance.nextInt(200), n::starts);
+        }
+        for (FaultScript.Line l : script.lines) p.in(l.at(), () -> p.befalls(l));
+        for (double t = 0; t < script.ends; t += LOOKS_EVERY) p.in(t, p::look);
+        p.run(script.ends);
+        Map<String, Long> running = new TreeMap<>();
+        for (Node n : p.nodes) if (n.party != null) running.put(n.name, n.mayStart() ? n.deciding : -1);
+        p.rules.ends(p.now, running);
+        return p;
+    }
+
+    private void in(double after, Runnable what) {
+        queue.add(new Due(now + Math.max(0, after), orders++, what));
+    }
+
+    private void run(double until) {
+        for (Due d; (d = queue.peek()) != null && d.at <= until;) {
+            queue.poll();
+            now = Math.max(now, d.at);
+            d.what.run();
+        }
+        now = until;
+    }
+
+    /** Lookups start at each director that runs: which plan would decide them now? */
+    private void look() {
+        for (Node n : nodes) {
+            if (n.party == null || now < n.pausedUntil) continue;
+            boolean may = n.mayStart();
+            rules.starts(now, n.name, may ? n.deciding : -1, n.party.holder().isBound(), n.party.holder().isSeated());
+        }
+    }
+
+    // ---- the links ----
+
+    private void carry(Node from, Party.Send s) {
+        sent++;
+        if (weighs) bytes += s.what().toString().length();
+        Node to = nodes.get(Integer.parseInt(s.to().substring(1)));
+        if (isCut(from, to)) return;
+        for (double[] l : losses) {
+            boolean meant = l[0] < 0 || l[0] == from.index || l[0] == to.index;
+            if (meant && chance.nextDouble() < l[1]) return;
+        }
+        int times = chance.nextInt(50) == 0 ? 2 : 1;        // some come twice
+        for (int i = 0; i < times; i++) {
+            in(0.3 + chance.nextDouble() + delayed * chance.nextDouble(), () -> {
+                if (to.party != null) {
+                    Said what = spoils.hears(to.name, from.name, s.what());
+                    if (what != null) to.does(() -> to.party.on(now, from.name, what));
+                } else if (from.party != null && !isCut(to, from)) {
+                    from.does(() -> from.party.refused("h", 1000 + to.index));
+                }
+            });
+        }
+    }
+
+    /** Whether what is sent is weighed: for figures only, as it takes time. */
+    public static boolean weighs;
+
+    private boolean isCut(Node from, Node to) {
+        for (int[] c : cuts) if ((c[0] < 0 || c[0] == from.index) && (c[1] < 0 || c[1] == to.index)) return true;
+        return false;
+    }
+
+    // ---- what befalls it ----
+
+    /** Text number {@code n}; 9 is one that n1 can't compile. */
+    private static byte[] text(int n) {
+        return ("{\"routes\": \"text " + n + (n == 9 ? ", refused by n1" : "") + "\"}").getBytes(
+            StandardCharsets.UTF_8);
+    }
+
+    private void befalls(FaultScript.Line l) {
+        for (int i : l.whom()) {
+            Node n = nodes.get(i);
+            switch (l.what()) {
+                case PAUSE -> {
+                    n.pausedUntil = Math.max(n.pausedUntil, now + l.lasts());
+                    in(l.lasts(), this::look);              // the first lookup after it wakes, before all else
+                }
+                case KILL -> {
+                    if (n.party != null) ends(n);
+                }
+                case RESTART, FORGET -> {
+                    if (n.party == null) continue;
+                    ends(n);
+                    if (l.what() == FaultScript.What.FORGET) n.disk = new Disk();
+                    in(l.lasts(), () -> {
+                        if (n.party == null) n.starts();
+                    });
+                }
+                case LEAVE -> n.does(() -> n.party.leave(now));
+                case REFUSE -> {
+                    n.disk.refuses = true;
+                    in(l.lasts(), () -> n.disk.refuses = false);
+                }
+                case PROPOSE, STOP, TRIAL, LEASES, PROMOTE, ABORT -> n.does(() -> asks(n, l));
+                default -> { }
+            }
+        }
+        switch (l.what()) {
+            case LOSS -> {
+                double[] loss = {l.whom().size() == script.members ? -1 : l.whom().get(0), l.by()};
+                losses.add(loss);
+                in(l.lasts(), () -> losses.remove(loss));
+            }
+            case DELAY -> {
+                delayed = l.by();
+                in(l.lasts(), () -> delayed = 0);
+            }
+            case CUT -> {
+                boolean from = l.whom().size() == script.members, to = l.to().size() == script.members;
+                for (int a : l.whom()) for (int b : l.to()) {
+                    int[] c = {from ? -1 : a, to ? -1 : b};
+                    cuts.add(c);
+                    in(l.lasts(), () -> cuts.remove(c));
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** A crash: of a write under way nothing is known. */
+    private void ends(Node n) {
+        if (n.writing && chance.nextBoolean()) n.disk.voter = n.written;
+        n.ends();
+    }
+
+    private void asks(Node n, FaultScript.Line l) {
+        Party p = n.party;
+        Plan plan = p.known().plan();
+        Change c = p.known().change();
+        String key = "k" + ++proposals;
+        if (l.what() == FaultScript.What.PROMOTE || l.what() == FaultScript.What.ABORT) {
+            if (c == null) return;
+            p.asks(now, key, l.what() == FaultScript.What.PROMOTE ? new Move.Promote(c.id())
+                : new Move.Abort(c.id(), -1, "asked for"));
+            return;
+        }
+        Change.Mode mode = l.what() == FaultScript.What.STOP ? Change.Mode.STOP : Change.Mode.HOLD;
+        if (l.what() == FaultScript.What.LEASES) {
+            rules.proposes(now, key, l.lasts());
+            p.asks(now, key, new Move.Propose(key, plan.main(), 0, n.name, "", mode, l.lasts(), Plan.Canary.NONE,
+                l.by() > 0));
+            return;
+        }
+        byte[] text = text((int) l.by());
+        String digest = "t" + (int) l.by();
+        Plan.Canary canary = l.what() != FaultScript.What.TRIAL ? Plan.Canary.NONE : proposals % 2 == 0
+            ? new Plan.Canary(List.of("n1"), 0) : new Plan.Canary(List.of(), 0.3);
+        n.disk.texts.put(digest, text);
+        p.texts().kept(digest, text);
+        p.holder().has(digest, true);
+        rules.proposes(now, key, l.lasts());
+        p.asks(now, key, new Move.Propose(key, digest, text.length, n.name, "", mode, l.lasts(), canary, plan.leases()));
+    }
+
+    /** When each director first decided by each plan, for figures. */
+    public Map<Long, Map<String, Double>> taken() {
+        return rules.taken();
+    }
+
+    /** By change, when it was asked for. */
+    public Map<String, Double> asked() {
+        return new HashMap<>(rules.asked());
+    }
+}
--- a/src/main/java/mothcross/rig/Real.java
+++ b/src/main/java/mothcross/rig/Real.java
@@ -41,7 +41,12 @@
         + "life=(\\d+) size=(\\d+) members=\\[(.*)] fleet: view");
     private static final Pattern VOTES = Pattern.compile(".*base=([0-9a-f]+) round=\\d+ fleet: votes");
     private static final Pattern PHASE = Pattern.compile(".*phase=(\\w+) life=(\\d+) fleet: this director");
+    private static final Pattern SERVES = Pattern.compile(".* serves on /127\\.0\\.0\\.1:(\\d+).*");
+    private static final Pattern DECIDED = Pattern.compile(".*revision=(\\d+) plan=(\\d+) change=(\\w*) stage=(\\w*) "
+        + "outcome=(\\w*) policy: decided");
+    private static final Pattern TAKEN = Pattern.compile(".*plan=(\\d+) revision=\\d+ policy: taken up");
     private static final double SETTLES_MS = 20_000;
+    private static final int VOTERS = 3;
 
     /** One process of the program and the link that all it sends goes through. */
     private final class Proc {
@@ -52,6 +57,7 @@
         Process process;
         volatile boolean dead;
         volatile long life;
+        volatile int clients;                               // the port for lookups, once it serves
 
         Proc(int index, int port) throws IOException {
             this.index = index;
@@ -87,10 +93,13 @@
             List<String> args = new ArrayList<>(List.of(java, "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx96m",
                 "-cp", System.getProperty("java.class.path"), "mothcross.cli.Main", "serve", "--config",
                 told.toString(), "--operators", operators.toString(), "--fleet-relay", "127.0.0.1:"
-                + link.getLocalPort()));
+                + link.getLocalPort(), "--tell-plan", "--skew-ms", Long.toString(skews.getOrDefault(index, 0L))));
             ProcessBuilder b = new ProcessBuilder(args);
             b.environment().keySet().removeIf(k -> k.startsWith("ROUTER_"));
             record(History.Kind.STARTS, this, 0);
+            synchronized (history) {
+                if (id >= script.members) limits.starts();
+            }
             process = b.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
             thread(this::read);
         }
@@ -126,6 +135,13 @@
                     if (!m.group(1).equals("STEPPED_BACK")) return;
                     record(History.Kind.STEPPED_BACK, this, Long.parseLong(m.group(2)));
                     steppedBack.add(this);
+                } else if ((m = SERVES.matcher(line)).matches()) {
+                    clients = Integer.parseInt(m.group(1));
+                } else if ((m = DECIDED.matcher(line)).matches()) {
+                    policy.decided(now(), name, Long.parseLong(m.group(1)), Long.parseLong(m.group(2)), m.group(3),
+                        m.group(4), m.group(5));
+                } else if ((m = TAKEN.matcher(line)).matches()) {
+                    policy.takes(now(), name, Long.parseLong(m.group(1)));
                 }
                 history.notifyAll();
             }
@@ -196,6 +212,9 @@
     }
 
     public final History history = new History(false);
+    /** What was seen of changes of the policy, and of lookups. */
+    public final PolicyRules policy = new PolicyRules(false);
+    public final LimitRules limits;
     private final FaultScript script;
     private final SplittableRandom chance;
     private final Path dir, logs;
@@ -212,6 +231,9 @@
     private final DelayQueue<Due> due = new DelayQueue<>();
     private final ServerSocket bulletin = new ServerSocket(0, 50, HERE);
     private final List<Integer> seeds = new ArrayList<>();
+    private final Map<Integer, Long> skews = new java.util.concurrent.ConcurrentHashMap<>();
+    private final List<StandIn> boxes = new ArrayList<>();
+    private final List<Clients> clients = new CopyOnWriteArrayList<>();
     private boolean closed;
 
     public Real(FaultScript script, long seed, Path logs) throws IOException {
@@ -220,6 +242,8 @@
         this.logs = logs;
         if (logs != null) Files.createDirectories(logs);
         this.dir = Files.createTempDirectory("mothcross-rig");
+        this.limits = new LimitRules(script.limit, script.members);
+        for (StandIn.Kind k : StandIn.Kind.values()) boxes.add(new StandIn(boxes.size() + 1, k));
         thread(this::tellNothing);
         thread(this::deliver);
     }
@@ -289,9 +313,12 @@
     // ---- what each is told ----
 
     private String told(int index) {
+        StringBuilder list = new StringBuilder();
+        for (StandIn b : boxes) list.append(list.length() > 0 ? "," : "").append(b.listed());
         return "{\"name\":\"n" + index + "\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1" + index + "\",\"limits\":"
             + "{\"memory_mb\":128,\"sockets\":256},\"bulletin\":\"127.0.0.1:" + bulletin.getLocalPort()
-            + "\",\"known\":{\"no\":0,\"items\":[]},\"settings\":{\"Zone\":\"here\",\"Zones\":[\"here\"],\"Kinds\":"
+            + "\",\"known\":{\"no\":1,\"items\":[{\"no\":1,\"roster\":{\"revision\":1,\"complete\":true,\"members\":["
+            + list + "]}}]},\"settings\":{\"Zone\":\"here\",\"Zones\":[\"here\"],\"Kinds\":"
             + "[\"cache\",\"parent\",\"origin\"],\"Balancers\":" + script.members + ",\"Caps\":{\"MaxAttempts\":4,"
             + "\"SecondCopies\":true,\"Cancel\":true,\"Probing\":false,\"RetryAfter\":true,\"MaxRetryAfter\":1.0},"
             + "\"Report\":{\"Fields\":[]},\"Rules\":{\"Cold\":14.0},\"FamilyInfo\":{\"CrewByZone\":[" + script.members
@@ -302,9 +329,32 @@
     private String operators(int index, int port) {
         StringBuilder s = new StringBuilder();
         for (int p : seeds) s.append(s.length() > 0 ? "," : "").append("{\"at\":\"127.0.0.1:").append(p).append("\"}");
+        String more = "";
+        if (script.hasPolicy()) {
+            StringBuilder v = new StringBuilder();
+            for (int i = 0; i < Math.min(VOTERS, script.members); i++) {
+                v.append(v.length() > 0 ? "," : "").append("{\"name\":\"n").append(i).append("\"}");
+            }
+            more = ",\"policy\":{\"voters\":[" + v + "],\"lease_s\":" + LEASE_MS / 1000 + ",\"dir\":\"" + policyDir(index)
+                + "\"}";
+        } else if (script.limit > 0) {
+            more = ",\"routes\":" + limited(script.limit, script.members);
+        }
         return "{\"fleet\":{\"fleet\":\"rig\",\"listen\":\"127.0.0.1:" + port + "\",\"seeds\":[" + s + "],\"keys\":"
-            + "[{\"id\":1,\"secret\":\"of this play and no other\"}],\"file\":\"" + dir.resolve("kept-n" + index)
-            + "\"}}";
+            + "[{\"id\":1,\"secret\":\"of this play and no other\"}],\"lease_s\":1,\"file\":\""
+            + dir.resolve("kept-n" + index) + "\"}" + more + "}";
+    }
+
+    /** One limit for all lookups; at once, two for each director. */
+    private static String limited(double perS, int members) {
+        return "{\"rules\":[{\"name\":\"all\",\"match\":\"workload == 'books'\",\"limit\":{\"key\":\"workload\","
+            + "\"per_s\":" + perS + ",\"at_once\":" + 2 * members + "}}]}";
+    }
+
+    static final double LEASE_MS = 2000;
+
+    private Path policyDir(int index) {
+        return dir.resolve("policy-n" + index);
     }
 
     /** A port that is free for datagrams and streams. */
@@ -327,6 +377,7 @@
         seeds.addAll(ports.subList(0, Math.min(3, ports.size())));
         for (int i = 0; i < script.members; i++) byIndex.put(i, new Proc(i, ports.get(i)));
         awaitOneView(60_000);
+        awaitServing(60_000);
         double zero = now();
         List<Object[]> steps = new ArrayList<>();
         for (FaultScript.Line l : script.lines) {
@@ -346,6 +397,46 @@
         }
         pause(zero + script.ends - now());
         awaitOneView(SETTLES_MS);
+        if (script.hasPolicy()) awaitCalm(SETTLES_MS);
+        for (Clients c : clients) c.close();
+    }
+
+    /** Waits until no change is under way and all that run decide by one plan; the checkers say where that does not come. */
+    private void awaitCalm(double most) throws InterruptedException {
+        double until = now() + most;
+        while (now() < until && !isCalm()) {
+            synchronized (history) {
+                history.wait(100);
+            }
+        }
+        Map<String, Long> running = new HashMap<>();
+        for (Proc p : procs) if (!p.dead && !steppedBack.contains(p)) running.put(p.name, policy.planOf(p.name));
+        policy.ends(now(), running);
+    }
+
+    private boolean isCalm() {
+        synchronized (history) {
+            if (!policy.isCalm()) return false;
+            for (Proc p : procs) {
+                if (!p.dead && !steppedBack.contains(p) && policy.planOf(p.name) != policy.plan()) return false;
+            }
+            return true;
+        }
+    }
+
+    /** Waits until each that runs has a port for lookups. */
+    private void awaitServing(double most) throws InterruptedException {
+        double until = now() + most;
+        synchronized (history) {
+            while (now() < until && procs.stream().anyMatch(p -> !p.dead && !steppedBack.contains(p)
+                && p.clients == 0)) history.wait(200);
+        }
+    }
+
+    /** The port for lookups of a member's latest process, 0 while it has none. */
+    int clientsOf(int index) {
+        Proc p = byIndex.get(index);
+        return p == null || p.dead ? 0 : p.clients;
     }
 
     private interface Step {
@@ -391,11 +482,27 @@
                 case RESTART, FORGET, MOVE -> {
                     if (begins) {
                         end(p, false);
-                        if (l.what() == FaultScript.What.FORGET) Files.deleteIfExists(dir.resolve("kept-n" + i));
+                        if (l.what() == FaultScript.What.FORGET) {
+                            Files.deleteIfExists(dir.resolve("kept-n" + i));
+                            delete(policyDir(i));
+                        }
                     } else {
                         byIndex.put(i, new Proc(i, l.what() == FaultScript.What.MOVE ? free() : p.port));
                     }
                 }
+                case SKEW -> skews.put(i, (long) l.by());
+                case REFUSE -> {
+                    // Its folder is away, as a disk that is: nothing can be written there.
+                    Path away = dir.resolve("away-n" + i);
+                    if (begins) Files.move(policyDir(i), away);
+                    else Files.move(away, policyDir(i));
+                }
+                case LOOKUPS -> {
+                    if (begins) clients.add(new Clients(this, i, l.by(), l.lasts()));
+                }
+                case PROPOSE, STOP, TRIAL, PROMOTE, ABORT, LEASES -> {
+                    if (begins) asks(i, l);
+                }
                 case TWIN -> {
                     if (begins) byIndex.put(i, new Proc(i, free()));
                 }
@@ -429,6 +536,77 @@
         }
     }
 
+    /** As an operator would, by the program's own commands; how it ends is in the logs. */
+    private void asks(int i, FaultScript.Line l) throws IOException {
+        Proc p = byIndex.get(i);
+        if (p.dead) return;
+        String deadline = Math.max(1, Math.round(l.lasts())) + "ms", at = operatorsOf(i).toString();
+        List<String> args = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "mothcross.cli.Main", "policy"));
+        switch (l.what()) {
+            case LEASES -> args.addAll(List.of("leases", l.by() > 0 ? "on" : "off"));
+            case PROMOTE, ABORT -> args.addAll(List.of(l.what() == FaultScript.What.ABORT ? "abort" : "promote",
+                policy.underWay()));
+            default -> {
+                Path text = Files.writeString(dir.resolve("text-" + (int) l.by() + ".json"), text((int) l.by()));
+                args.addAll(List.of("propose", text.toString(), "--mode", l.what() == FaultScript.What.STOP ? "stop"
+                    : "hold"));
+                if (l.what() == FaultScript.What.TRIAL) args.addAll(List.of("--canary", "share=0.3"));
+            }
+        }
+        if (l.what() != FaultScript.What.PROMOTE && l.what() != FaultScript.What.ABORT) {
+            args.addAll(List.of("--deadline", deadline));
+        }
+        args.addAll(List.of("--operators", at));
+        Process c = new ProcessBuilder(args).redirectErrorStream(true).start();
+        commands.add(c);
+        thread(() -> {
+            try (BufferedReader in = c.inputReader()) {
+                for (String line; (line = in.readLine()) != null;) {
+                    synchronized (history) {
+                        history.fault(now(), l.text() + ": " + line);
+                        said.add(l.text() + ": " + line);
+                    }
+                }
+            } catch (IOException e) {
+                // it has ended
+            }
+        });
+    }
+
+    private final List<Process> commands = new CopyOnWriteArrayList<>();
+    /** What the commands of the script said. */
+    public final List<String> said = new CopyOnWriteArrayList<>();
+
+    /** Text number {@code n}: each another table, and the odd ones with a limit where the script has one. */
+    private String text(int n) {
+        if (n == 9) return "{\"routes\":{\"rules\":[{\"name\":\"x\",\"match\":\"workload === 1\"}]}}";
+        return "{\"routes\":{\"rules\":[{\"name\":\"text" + n + "\",\"match\":\"workload == 'none" + n + "'\"}"
+            + (script.limit > 0 ? "," + limited(script.limit, script.members).replaceAll("^.*?\\[|]}$", "") : "") + "]}}";
+    }
+
+    private static void delete(Path folder) throws IOException {
+        if (!Files.exists(folder)) return;
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path f : all.sorted(Comparator.reverseOrder()).toList()) Files.deleteIfExists(f);
+        }
+    }
+
+    double time() {
+        return now();
+    }
+
+    void answered(int index, double sent, double at, int status, long plan) {
+        synchronized (history) {
+            policy.answered(sent, "n" + index, status, plan);
+            limits.answered(sent, at, status);
+            answers.add(new double[] {sent, at, status, plan});
+        }
+    }
+
+    /** Of each lookup: sent, answered, status, plan. */
+    public final List<double[]> answers = new ArrayList<>();
+
     private void cut(int a, int b, boolean on) {
         cuts.removeIf(c -> c[0] == a && c[1] == b);
         if (on) cuts.add(new int[] {a, b});
@@ -444,6 +622,7 @@
         if (machineToo) vanished.add(p.port);
         record(History.Kind.ENDS, p, p.life);
         p.dead = true;
+        p.clients = 0;
         p.process.destroyForcibly().waitFor();
     }
 
@@ -473,6 +652,9 @@
     @Override public void close() throws IOException {
         if (closed) return;
         closed = true;
+        for (Clients c : clients) c.close();
+        for (Process c : commands) c.destroyForcibly();
+        for (StandIn b : boxes) b.close();
         for (Proc p : procs) {
             if (p.process != null) p.process.destroyForcibly();
             p.link.close();
--- a/src/main/java/mothcross/rig/Virtual.java
+++ b/src/main/java/mothcross/rig/Virtual.java
@@ -172,7 +172,7 @@
     private final List<String> putOut = new ArrayList<>();
     private final Set<String> outNow = new HashSet<>();
     private final Set<String> excused = new HashSet<>();
-    private final Map<Integer, Double> troubled = new HashMap<>();
+    private final Map<Integer, Double> troubled = new HashMap<>(), skews = new HashMap<>();
     private double now = 0, delayed, calmFrom;
     private long orders, lives = 1000;
     private int ports = 1000;
@@ -360,7 +360,10 @@
             });
             case RESTART, FORGET -> each(l, p -> {
                 end(p, false);
-                long life = l.what() == FaultScript.What.FORGET ? ++lives : p.member.life() + 1;
+                // Who kept nothing draws its life from its clock, which may be off.
+                long drawn = skews.containsKey(p.index) ? Math.max(1, 1000 + (long) (now + skews.get(p.index)))
+                    : ++lives;
+                long life = l.what() == FaultScript.What.FORGET ? drawn : p.member.life() + 1;
                 lives = Math.max(lives, life) + 1;
                 in(l.lasts(), () -> {
                     if (byIndex.get(p.index).dead) byIndex.put(p.index, new Proc(p.index, p.port, life,
@@ -423,7 +426,11 @@
                     if (there != null) in(i, () -> there.arrives(s.message()));
                 }
             }
-            default -> throw new IllegalStateException(l.text());
+            case SKEW -> {
+                for (int i : l.whom()) skews.put(i, l.by());
+            }
+            case LOOKUPS -> { }                             // among real processes only
+            default -> throw new IllegalStateException(l.text() + " is of the policy: PolicyPlay");
         }
     }
 
--- /dev/null
+++ b/src/main/java/mothcross/rig/explore/RegisterModel.java
@@ -0,0 +1,348 @@
+package mothcross.rig.explore;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import mothcross.policy.Book;
+import mothcross.policy.Change;
+import mothcross.policy.Move;
+import mothcross.policy.Plan;
+import mothcross.policy.Said;
+import mothcross.policy.Turn;
+import mothcross.policy.Voter;
+import mothcross.policy.Voters;
+import mothcross.policy.Writer;
+
+/**
+ * The register among a few voters and two writers, with the very classes that serve: every order of deliveries, each
+ * message lost, late or delivered any number of times, writers that crash at every step, voters that crash before and
+ * after each sync, and a disk that is lost. What was said stays deliverable for ever, so that loss, doubling and
+ * lateness need no steps of their own; a voter's crash before its answer is that answer never delivered. Owns the
+ * promises on the register, written out plainly; shares only data with what it checks.
+ */
+public final class RegisterModel implements Explorer.Model<RegisterModel.State> {
+    /** Faults that the checks have to find; NONE is the program as it is. */
+    public enum Fault { NONE, ANSWERS_BEFORE_SYNC, FORGETS_PROMISES, FORGETS_UNAWARE, MOST_OF_REACHABLE, SAME_TURN,
+        FINISHES_NOTHING, NEW_VOTERS_ALONE, MARKS_IGNORED, LEASE_BY_ONE }
+
+    /** What is played: two steps by two writers; the voters changed meanwhile; from nothing; a lease beside a commit. */
+    public enum Scene { TWO_STEPS, VOTERS, FOUNDING, LEASE }
+
+    private record Letter(String to, String from, Said what, long hash, String voter, long bare) { }
+
+    /** One state; {@code decided} is what some writer has seen decided, by revision. */
+    public static final class State {
+        private final Voter.State[] voters;
+        private final Writer[] writers;
+        private final Book[] known;
+        private final int[] attempts, crashes;
+        private final List<Letter> said;
+        private final Map<Long, Book> decided;
+        private int disks;
+        // Of the lease: whether it was asked after the commit was seen decided, and who has said yes.
+        private boolean asked, askedAfter;
+        private int yes;
+        private String broken;
+
+        private State(int voters, int writers) {
+            this.voters = new Voter.State[voters];
+            this.writers = new Writer[writers];
+            known = new Book[writers];
+            attempts = new int[writers];
+            crashes = new int[1];
+            said = new ArrayList<>();
+            decided = new TreeMap<>();
+        }
+
+        private State(State s) {
+            voters = s.voters.clone();
+            writers = s.writers.clone();
+            known = s.known.clone();
+            attempts = s.attempts.clone();
+            crashes = s.crashes.clone();
+            said = new ArrayList<>(s.said);
+            decided = new TreeMap<>(s.decided);
+            disks = s.disks;
+            asked = s.asked;
+            askedAfter = s.askedAfter;
+            yes = s.yes;
+            broken = s.broken;
+        }
+    }
+
+    private static final String DIRECTOR = "d";
+    private final Scene scene;
+    private final Fault fault;
+    private final int[] attempts;
+    private final int crashes, mostDisks;
+    private final Set<String> founders = Set.of("v0", "v1", "v2");
+
+    /** {@code attempts} of each writer; {@code disks} that may be lost, 0 or 1. */
+    public RegisterModel(Scene scene, Fault fault, int[] attempts, int crashes, int disks) {
+        this.scene = scene;
+        this.fault = fault;
+        this.attempts = attempts;
+        this.mostDisks = disks;
+        this.crashes = crashes;
+    }
+
+    private static long hashOf(Object o) {
+        return Hashing.komihash5_0().hashCharsToLong(o.toString());
+    }
+
+    @Override public State first() {
+        State s = new State(scene == Scene.VOTERS ? 5 : 3, 2);
+        Book b = Book.first(Voters.named(founders), 1000);
+        Map<String, String> marks = new TreeMap<>();
+        for (String v : founders) marks.put(v, "m" + v);
+        try {
+            if (scene != Scene.FOUNDING) b = new Move.Found(marks).after(b);
+            if (scene == Scene.LEASE) {
+                b = new Move.Enrol(Map.of(DIRECTOR, new Book.Seat(1, "h", 1, false))).after(b);
+                b = new Move.Propose("c", "x", 1, "w0", "", Change.Mode.HOLD, 1e6, Plan.Canary.NONE, false).after(b);
+            }
+        } catch (Move.Refused e) {
+            throw new IllegalStateException(e);
+        }
+        Turn t = new Turn(1, "w", 0);
+        for (int i = 0; i < s.voters.length; i++) {
+            String mark = "mv" + i;
+            boolean has = scene != Scene.FOUNDING && i < 3;
+            s.voters[i] = has ? new Voter.State(mark, t, t, b) : Voter.State.blank(mark);
+        }
+        if (scene != Scene.FOUNDING) s.decided.put(b.revision(), b);
+        for (int i = 0; i < 2; i++) {
+            s.known[i] = b;
+            s.writers[i] = new Writer(writer(i), life(0), founders);
+        }
+        return s;
+    }
+
+    private String writer(int i) {
+        return fault == Fault.SAME_TURN ? "w" : "w" + i;
+    }
+
+    private long life(int crashed) {
+        return fault == Fault.SAME_TURN ? 1 : 1 + crashed;
+    }
+
+    /** What a writer puts there: each its own, so that what is lost or put there twice shows. */
+    private Move move(State s, int i) {
+        if (scene == Scene.LEASE) {
+            return new Move.Commit("c", 3, Set.of(DIRECTOR + "@1"), Set.of());
+        }
+        if (scene == Scene.VOTERS && s.known[i].voters().number() == 1 && i == 0) {
+            // A jump to a set that shares one voter with the old one.
+            return new Move.Vote(1, Map.of("v2", "mv2", "v3", "mv3", "v4", "mv4"));
+        }
+        String name = "e" + i + s.attempts[i];
+        return new Move.Enrol(Map.of(name, new Book.Seat(1, "h", i * 10 + s.attempts[i], false)));
+    }
+
+    // ---- what can happen ----
+
+    @Override public void next(State s, BiConsumer<String, State> to) {
+        for (int i = 0; i < s.writers.length; i++) {
+            Writer.State w = s.writers[i].state();
+            boolean over = w == Writer.State.IDLE || w == Writer.State.DONE || w == Writer.State.LOST;
+            if (s.attempts[i] == attempts[i]) continue;
+            to.accept("w" + i + " begins" + (over ? "" : " again"), begun(s, i, false));
+            if (!over && s.crashes[0] < crashes) to.accept("w" + i + " crashes and begins anew", begun(s, i, true));
+        }
+        for (Letter l : s.said) deliver(s, l, to);
+        if (scene == Scene.LEASE && !s.asked) {
+            State n = new State(s);
+            n.asked = true;
+            n.askedAfter = s.decided.values().stream().anyMatch(b -> b.plan().number() == 1);
+            to.accept("d asks for a lease", n);
+        }
+        if (scene == Scene.LEASE && s.asked) for (int i = 0; i < 3; i++) lease(s, i, to);
+        for (int i = 0; i < s.voters.length; i++) {
+            if (s.disks >= mostDisks) break;
+            State n = new State(s);
+            n.disks++;
+            if (fault == Fault.FORGETS_PROMISES) {
+                n.voters[i] = new Voter.State(s.voters[i].mark(), Turn.NONE, s.voters[i].acceptedAt(),
+                    s.voters[i].accepted());
+                to.accept("v" + i + " restarts and forgets its promise", n);
+            } else if (fault == Fault.FORGETS_UNAWARE) {
+                n.voters[i] = Voter.State.blank(s.voters[i].mark());
+                to.accept("v" + i + " loses its disk unaware", n);
+            } else if (fault == Fault.NONE || fault == Fault.MARKS_IGNORED) {
+                n.voters[i] = Voter.State.blank("new" + i);
+                to.accept("v" + i + " loses its disk", n);
+            }
+        }
+    }
+
+    private State begun(State s, int i, boolean crashed) {
+        State n = new State(s);
+        if (crashed) n.crashes[0]++;
+        Writer w = crashed ? new Writer(writer(i), life(n.crashes[0]), founders) : new Writer(s.writers[i]);
+        w.begin(s.known[i], move(s, i));
+        n.attempts[i]++;
+        n.writers[i] = w;
+        says(n, i);
+        prune(n);
+        return n;
+    }
+
+    private void says(State n, int i) {
+        n.writers[i].says().forEach((v, what) -> add(n, v, "w" + i, what));
+    }
+
+    private static void add(State n, String to, String from, Said what) {
+        long h = hashOf(to + from + what);
+        for (Letter l : n.said) if (l.hash == h) return;
+        boolean toVoter = to.charAt(0) == 'v';
+        // By the voter that it goes to or comes from; without its name, since voters are alike.
+        n.said.add(new Letter(to, from, what, h, toVoter ? to : from, hashOf((toVoter ? "" : to) + "/" + (toVoter
+            ? from : "") + what)));
+    }
+
+    /** What can have no effect any more is as if it had never been said. */
+    private void prune(State n) {
+        if (fault != Fault.NONE) return;
+        n.said.removeIf(l -> {
+            int i = l.to.charAt(1) - '0';
+            if (l.to.charAt(0) == 'v') {
+                Turn t = l.what instanceof Said.Prepare p ? p.turn() : ((Said.Accept) l.what).turn();
+                Voter.State v = n.voters[i];
+                boolean done = l.what instanceof Said.Prepare ? t.compareTo(v.promised()) <= 0
+                    : t.compareTo(v.promised()) < 0 || t.equals(v.acceptedAt());
+                return done && v.mark().startsWith("m");
+            }
+            Turn t = l.what instanceof Said.Promised p ? p.turn() : ((Said.Accepted) l.what).turn();
+            Writer w = n.writers[i];
+            boolean waits = l.what instanceof Said.Promised ? w.state() == Writer.State.ASKS
+                : w.state() == Writer.State.ASKS || w.state() == Writer.State.OFFERS;
+            return !waits || t.compareTo(w.turn()) < 0;
+        });
+    }
+
+    private void deliver(State s, Letter l, BiConsumer<String, State> to) {
+        int i = l.to.charAt(1) - '0';
+        String what = l.to + " hears of " + l.from + " " + kind(l.what);
+        if (l.to.charAt(0) == 'v') {
+            if (i >= s.voters.length) return;
+            Voter v = new Voter(l.to, founders, s.voters[i]);
+            Voter.Step step = l.what instanceof Said.Prepare p ? v.on(p) : v.on((Said.Accept) l.what);
+            // That it is late is told by its silence as well: a writer may begin again at any time.
+            if (step.keep() == null) return;
+            State n = new State(s);
+            if (step.keep() != null) {
+                n.voters[i] = step.keep();
+                Said.Receipt r = v.synced(step.keep());
+                Said answer = l.what instanceof Said.Prepare ? Said.Promised.of(r) : Said.Accepted.of(r);
+                add(n, l.from, l.to, answer);
+                if (fault == Fault.ANSWERS_BEFORE_SYNC && s.disks < mostDisks) {
+                    State torn = new State(n);
+                    torn.voters[i] = s.voters[i];
+                    torn.disks = 1;
+                    prune(torn);
+                    to.accept(what + ", answers and crashes before its sync", torn);
+                }
+                if (fault == Fault.MOST_OF_REACHABLE && answer instanceof Said.Accepted a) {
+                    // Those that are not reachable are taken to agree.
+                    for (String other : founders) add(n, l.from, other, new Said.Accepted(a.turn(), "m" + other));
+                }
+                if (fault == Fault.NEW_VOTERS_ALONE && answer instanceof Said.Accepted a && i >= 3) {
+                    for (String other : founders) add(n, l.from, other, new Said.Accepted(a.turn(), "m" + other));
+                }
+            }
+            prune(n);
+            to.accept(what, n);
+            return;
+        }
+        Writer before = s.writers[i];
+        Said heard = l.what;
+        if (fault == Fault.MARKS_IGNORED) {
+            String right = "m" + l.from;
+            if (heard instanceof Said.Promised p) heard = new Said.Promised(p.turn(), right, p.at(), p.accepted());
+            if (heard instanceof Said.Accepted a) heard = new Said.Accepted(a.turn(), right);
+        }
+        if (fault == Fault.FINISHES_NOTHING && heard instanceof Said.Promised p && p.accepted() != null
+            && p.accepted().revision() > s.known[i].revision()) {
+            heard = new Said.Promised(p.turn(), p.mark(), new Turn(1, "w", 0), s.known[i]);
+        }
+        Writer w = new Writer(before);
+        if (heard instanceof Said.Promised p) w.on(l.from, p);
+        else if (heard instanceof Said.Accepted a) w.on(l.from, a);
+        if (w.shown().equals(before.shown()) && w.of(l.from).equals(before.of(l.from))) return;
+        State n = new State(s);
+        n.writers[i] = w;
+        says(n, i);
+        if (w.decided() != null && before.state() != Writer.State.DONE) decided(n, i, w.decided());
+        prune(n);
+        to.accept(what, n);
+    }
+
+    private static String kind(Said s) {
+        String t = s.toString();
+        return t.length() > 60 ? t.substring(0, 60) : t;
+    }
+
+    private void lease(State s, int i, BiConsumer<String, State> to) {
+        if ((s.yes & 1 << i) != 0) return;
+        Voter v = new Voter("v" + i, founders, s.voters[i]);
+        Said.YouMay y = v.on(new Said.MayI(1, 0, 1, 1), DIRECTOR, null);
+        if (!y.yes() || !y.mark().equals("mv" + i) && fault != Fault.MARKS_IGNORED) return;
+        State n = new State(s);
+        n.yes |= 1 << i;
+        int enough = fault == Fault.LEASE_BY_ONE ? 1 : 2;
+        if (Integer.bitCount(n.yes) >= enough && n.askedAfter) {
+            n.broken = "promise 2: a lease for plan 0 was given to one who asked after plan 1 was decided";
+        }
+        to.accept("v" + i + " says yes to d", n);
+    }
+
+    // ---- what has to hold ----
+
+    /** Promise 1: one book for each revision, for ever, and each made from the one before. */
+    private void decided(State n, int i, Book b) {
+        Book same = n.decided.putIfAbsent(b.revision(), b);
+        if (same != null && !same.equals(b)) {
+            n.broken = "promise 1: revision " + b.revision() + " was decided twice: " + same + " and " + b;
+        }
+        Book before = n.decided.get(b.revision() - 1), after = n.decided.get(b.revision() + 1);
+        if (before != null && !follows(before, b) || after != null && !follows(b, after)) {
+            n.broken = "promise 1: revision " + b.revision() + " does not follow from the one before";
+        }
+        if (b.revision() > n.known[i].revision()) n.known[i] = b;
+    }
+
+    private static boolean follows(Book a, Book b) {
+        return b.roll().keySet().containsAll(a.roll().keySet()) && b.voters().number() >= a.voters().number()
+            && b.plan().number() >= a.plan().number();
+    }
+
+    @Override public String broken(State s) {
+        return s.broken;
+    }
+
+    /** Voters of one set are alike: states that differ only in which of them is which are one. */
+    @Override public long hash(State s) {
+        long[] each = new long[s.voters.length];
+        for (int i = 0; i < each.length; i++) {
+            String name = "v" + i;
+            StringBuilder b = new StringBuilder(128).append(s.voters[i].promised()).append(s.voters[i].acceptedAt())
+                .append(s.voters[i].accepted()).append(s.voters[i].mark().startsWith("m")).append(s.yes >> i & 1);
+            for (Writer w : s.writers) b.append(w.of(name).replace("mv" + i, "m")).append('|');
+            if (scene == Scene.VOTERS) b.append(i < 2 ? 0 : i == 2 ? 1 : 2);
+            long letters = 0;
+            for (Letter l : s.said) if (l.voter.equals(name)) letters += l.bare * 0x9e3779b97f4a7c15L;
+            each[i] = hashOf(b) ^ letters;
+        }
+        Arrays.sort(each);
+        StringBuilder b = new StringBuilder(256);
+        for (Writer w : s.writers) b.append(w.shown()).append('|');
+        for (Book k : s.known) b.append(k);
+        return hashOf(b.append(Arrays.toString(each)).append(Arrays.toString(s.attempts)).append(s.crashes[0])
+            .append(s.disks).append(s.asked).append(s.askedAfter).append(s.decided).append(s.broken));
+    }
+}
