--- a/deploy/operators.jsonnet
+++ b/deploy/operators.jsonnet
@@ -34,4 +34,12 @@
   //   lease_s: 5,
   //   directors: 0,                     // that share each limit; 0: as the platform tells
   // },
+
+  // Changes of the routes that take hold at every director or at none: docs/operate/policy.md. With it, routes come
+  // by `mothcross policy propose`, and stand in no director's file.
+  // policy: {
+  //   voters: [{ name: 'd1' }, { name: 'd2' }, { name: 'd3' }],  // the same in every file
+  //   dir: '/var/lib/mothcross/policy', // on a disk that lasts; one folder a director, never copied
+  //   lease_s: 3,
+  // },
 }
--- a/src/main/java/mothcross/policy/Party.java
+++ b/src/main/java/mothcross/policy/Party.java
@@ -318,7 +318,8 @@
         if (staged || planned) {
             otherDrove = now;
             boolean same = c != null && o != null && o.id().equals(c.id());
-            drives = c != null && (same ? drives : c.by().equals(name));
+            boolean goesOn = same && o.stage() != Stage.TRIAL;
+            drives = c != null && (goesOn ? drives : c.by().equals(name));
             tell("policy: decided", "revision", b.revision(), "plan", b.plan().number(), "change", c == null ? ""
                 : c.id(), "stage", c == null ? "" : c.stage(), "outcome", b.lately().isEmpty() ? ""
                 : b.lately().get(b.lately().size() - 1).outcome());
--- a/src/main/java/mothcross/rig/Clients.java
+++ b/src/main/java/mothcross/rig/Clients.java
@@ -20,7 +20,8 @@
     private final double perS, until;
     private final SplittableRandom chance;
     private volatile boolean closed;
-    private Socket on;
+    private final Thread thread = new Thread(this::run, "clients");
+    private volatile Socket on;
     private int port;
 
     Clients(Real play, int index, double perS, double lasts) {
@@ -29,9 +30,8 @@
         this.perS = perS;
         this.until = play.time() + lasts;
         this.chance = new SplittableRandom(index);
-        Thread t = new Thread(this::run, "clients");
-        t.setDaemon(true);
-        t.start();
+        thread.setDaemon(true);
+        thread.start();
     }
 
     private void run() {
@@ -70,7 +70,7 @@
             answer(sent, new BufferedInputStream(on.getInputStream()));
         } catch (IOException e) {
             drop();
-            play.answered(index, sent, play.time(), 0, -1);
+            if (!closed) play.answered(index, sent, play.time(), 0, -1);
         }
     }
 
@@ -99,15 +99,23 @@
     }
 
     private void drop() {
+        Socket s = on;
         try {
-            if (on != null) on.close();
+            if (s != null) s.close();
         } catch (IOException e) {
             port = 0;
         }
         on = null;
     }
 
+    /** When it returns, nothing more is noted. */
     @Override public void close() {
         closed = true;
+        drop();
+        try {
+            thread.join(PATIENCE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/src/main/java/mothcross/rig/PolicyPlay.java
+++ b/src/main/java/mothcross/rig/PolicyPlay.java
@@ -250,6 +250,7 @@
     /** Lookups start at each director that runs: which plan would decide them now? */
     private void look() {
         for (Node n : nodes) {
+            if (n.party != null && n.party.isGone()) n.ends();
             if (n.party == null || now < n.pausedUntil) continue;
             boolean may = n.mayStart();
             rules.starts(now, n.name, may ? n.deciding : -1, n.party.holder().isBound(), n.party.holder().isSeated());
--- a/src/main/java/mothcross/rig/Real.java
+++ b/src/main/java/mothcross/rig/Real.java
@@ -1,5 +1,7 @@
 package mothcross.rig;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -8,6 +10,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
@@ -29,6 +32,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import mothcross.fleet.net.Question;
+import mothcross.fleet.net.Wire;
 
 /**
  * A script played among real processes of this program on loopback. All that a director sends to another goes through
@@ -536,45 +541,82 @@
         }
     }
 
-    /** As an operator would, by the program's own commands; how it ends is in the logs. */
-    private void asks(int i, FaultScript.Line l) throws IOException {
+    /** As an operator's command would, without waiting for one to start; how it ends is in the logs. */
+    private void asks(int i, FaultScript.Line l) {
         Proc p = byIndex.get(i);
         if (p.dead) return;
-        String deadline = Math.max(1, Math.round(l.lasts())) + "ms", at = operatorsOf(i).toString();
-        List<String> args = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "mothcross.cli.Main", "policy"));
+        thread(() -> {
+            String how;
+            try {
+                how = asked(p, l);
+            } catch (IOException | InterruptedException e) {
+                how = String.valueOf(e.getMessage());
+            }
+            synchronized (history) {
+                history.fault(now(), l.text() + ": " + how);
+                said.add(l.text() + ": " + how);
+            }
+        });
+    }
+
+    private String asked(Proc p, FaultScript.Line l) throws IOException, InterruptedException {
+        String key = "k" + p.id + "at" + (long) l.at();
         switch (l.what()) {
-            case LEASES -> args.addAll(List.of("leases", l.by() > 0 ? "on" : "off"));
-            case PROMOTE, ABORT -> args.addAll(List.of(l.what() == FaultScript.What.ABORT ? "abort" : "promote",
-                policy.underWay()));
+            case PROMOTE, ABORT -> ask(p, "policy " + l.what().name().toLowerCase(java.util.Locale.ROOT) + " " + key + " "
+                + policy.underWay(), new byte[0]);
+            case LEASES -> ask(p, "policy propose", proposal(key, ask(p, "policy status", new byte[0]).getAsJsonObject(
+                "plan").get("main").getAsString(), l, l.by() > 0));
             default -> {
-                Path text = Files.writeString(dir.resolve("text-" + (int) l.by() + ".json"), text((int) l.by()));
-                args.addAll(List.of("propose", text.toString(), "--mode", l.what() == FaultScript.What.STOP ? "stop"
-                    : "hold"));
-                if (l.what() == FaultScript.What.TRIAL) args.addAll(List.of("--canary", "share=0.3"));
+                byte[] text = text((int) l.by()).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+                String digest = java.util.HexFormat.of().formatHex(sha256(text)), state = "checking";
+                ask(p, "policy bring " + digest, text);
+                while (state.equals("checking")) {
+                    state = ask(p, "policy brought " + digest, new byte[0]).get("state").getAsString();
+                    Thread.sleep(5);                        // between two questions; no check rests on it
+                }
+                if (!state.equals("kept")) return state;
+                boolean leases = ask(p, "policy status", new byte[0]).getAsJsonObject("plan").get("leases")
+                    .getAsBoolean();
+                ask(p, "policy propose", proposal(key, digest, l, leases));
             }
         }
-        if (l.what() != FaultScript.What.PROMOTE && l.what() != FaultScript.What.ABORT) {
-            args.addAll(List.of("--deadline", deadline));
+        while (true) {
+            JsonObject o = ask(p, "policy tried " + key, new byte[0]);
+            if (o.has("outcome")) return o.get("outcome").getAsString();
+            Thread.sleep(20);                               // likewise
         }
-        args.addAll(List.of("--operators", at));
-        Process c = new ProcessBuilder(args).redirectErrorStream(true).start();
-        commands.add(c);
-        thread(() -> {
-            try (BufferedReader in = c.inputReader()) {
-                for (String line; (line = in.readLine()) != null;) {
-                    synchronized (history) {
-                        history.fault(now(), l.text() + ": " + line);
-                        said.add(l.text() + ": " + line);
-                    }
-                }
-            } catch (IOException e) {
-                // it has ended
-            }
-        });
     }
 
-    private final List<Process> commands = new CopyOnWriteArrayList<>();
+    private static byte[] sha256(byte[] b) {
+        try {
+            return java.security.MessageDigest.getInstance("SHA-256").digest(b);
+        } catch (java.security.NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);             // every JDK has it
+        }
+    }
+
+    private static byte[] proposal(String key, String digest, FaultScript.Line l, boolean leases) {
+        JsonObject o = new JsonObject(), canary = new JsonObject();
+        canary.add("names", new com.google.gson.JsonArray());
+        canary.addProperty("share", l.what() == FaultScript.What.TRIAL ? 0.3 : 0);
+        o.addProperty("id", key);
+        o.addProperty("digest", digest);
+        o.addProperty("note", "");
+        o.addProperty("mode", l.what() == FaultScript.What.STOP ? "STOP" : "HOLD");
+        o.addProperty("deadlineMs", l.lasts());
+        o.add("canary", canary);
+        o.addProperty("leases", leases);
+        return o.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static JsonObject ask(Proc p, String what, byte[] body) throws IOException {
+        JsonObject o = JsonParser.parseString(Question.ask(new InetSocketAddress(HERE, p.port), "rig",
+            List.of(new Wire.Key(1, "of this play and no other".getBytes(java.nio.charset.StandardCharsets.UTF_8))), what,
+            body)).getAsJsonObject();
+        if (o.has("failed")) throw new IOException(o.get("failed").getAsString());
+        return o;
+    }
+
     /** What the commands of the script said. */
     public final List<String> said = new CopyOnWriteArrayList<>();
 
@@ -599,12 +641,13 @@
     void answered(int index, double sent, double at, int status, long plan) {
         synchronized (history) {
             policy.answered(sent, "n" + index, status, plan);
-            limits.answered(sent, at, status);
-            answers.add(new double[] {sent, at, status, plan});
+            // Where the limit comes by a change, what was decided before it is under none.
+            if (!script.hasPolicy() || plan > 0) limits.answered(sent, at, status);
+            answers.add(new double[] {sent, at, status, plan, index});
         }
     }
 
-    /** Of each lookup: sent, answered, status, plan. */
+    /** Of each lookup: sent, answered, status, plan, director. */
     public final List<double[]> answers = new ArrayList<>();
 
     private void cut(int a, int b, boolean on) {
@@ -653,7 +696,6 @@
         if (closed) return;
         closed = true;
         for (Clients c : clients) c.close();
-        for (Process c : commands) c.destroyForcibly();
         for (StandIn b : boxes) b.close();
         for (Proc p : procs) {
             if (p.process != null) p.process.destroyForcibly();
