A director whose clock went back and that kept nothing gets in again

Found by the new clock faults of the rig (members 7, skew 3 by 60000, forget, skew by -60000, forget): a life drawn lower than the former one at the same address was dropped as an old one for ever, since only processes at another address were told of the later life. Change: it is told, seldom; of the policy's roll it takes a life above its former seat's.

--- a/src/main/java/mothcross/fleet/Member.java
+++ b/src/main/java/mothcross/fleet/Member.java
@@ -393,9 +393,12 @@
         return out;
     }
 
-    /** One that runs under a name that another has taken since has to hear of it; seldom, as it may be an echo. */
+    /**
+     * One that runs under a name that another has taken since has to hear of it, and one whose clock went back and that
+     * kept nothing that there were later lives of its own; seldom, as it may be an echo, which harms nobody.
+     */
     private void tellOfLater(Message m, Fact later, double now) {
-        if (m.host().equals(later.host()) && m.port() == later.port() || now - toldOfLater < pace.period()) return;
+        if (now - toldOfLater < pace.period()) return;
         toldOfLater = now;
         out.add(new Send(m.host(), m.port(), new Message(Kind.ACK, name, life, host, port, m.from(), 0, "", false,
             view.number, view.digest, List.of(new Candidate(later)), null)));
--- a/src/main/java/mothcross/policy/Holder.java
+++ b/src/main/java/mothcross/policy/Holder.java
@@ -17,7 +17,7 @@
     public enum Stopped { NO, NOT_SEATED, NO_TEXT, LEASE_OVER }
 
     private final String name;
-    private final long life;
+    private long life;
     private Book known;
     private long plan = -1;                                 // what it decides by; -1: nothing yet
     private long boundFor = -1;                             // the stage, by its first revision; -1: free of it
@@ -68,6 +68,11 @@
         return texts;
     }
 
+    /** Its clock went back and its disk is new: its seat is a former life's, which this one has outlived. */
+    void relives(long above) {
+        if (!isSeated()) life = above + 1;
+    }
+
     /** A text is on disk and compiled, or is not held any more. */
     public void has(String digest, boolean here) {
         if (here) texts.add(digest);
--- a/src/main/java/mothcross/policy/Party.java
+++ b/src/main/java/mothcross/policy/Party.java
@@ -182,6 +182,9 @@
         }
         if (!holder.isSeated() && !leaving && now >= enrolAt) {
             enrolAt = now + ENROL * (0.7 + 0.6 * chance.nextDouble());
+            Book.Seat former = b.roll().get(name);
+            boolean here = former != null && former.host().equals(host) && former.port() == port;
+            if (here && former.life() > holder.life()) holder.relives(former.life());
             Said.Enrol e = new Said.Enrol(holder.life(), host, port);
             String v = someVoter();
             if (v == null) on(now, name, e);
--- a/src/main/java/mothcross/rig/PolicyPlay.java
+++ b/src/main/java/mothcross/rig/PolicyPlay.java
@@ -206,6 +206,7 @@
     private final PriorityQueue<Due> queue = new PriorityQueue<>();
     private final List<double[]> losses = new ArrayList<>();
     private final List<int[]> cuts = new ArrayList<>();
+    private final Map<Integer, Double> skews = new HashMap<>();
     private double now, delayed;
     private long orders;
     private int marks = 1, proposals;
@@ -311,7 +312,11 @@
                 case RESTART, FORGET -> {
                     if (n.party == null) continue;
                     ends(n);
-                    if (l.what() == FaultScript.What.FORGET) n.disk = new Disk();
+                    if (l.what() == FaultScript.What.FORGET) {
+                        n.disk = new Disk();
+                        // Who kept nothing draws its life from its clock, which may be off.
+                        if (skews.containsKey(i)) n.life = Math.max(1, (long) (1000 + now + skews.get(i)));
+                    }
                     in(l.lasts(), () -> {
                         if (n.party == null) n.starts();
                     });
@@ -321,6 +326,7 @@
                     n.disk.refuses = true;
                     in(l.lasts(), () -> n.disk.refuses = false);
                 }
+                case SKEW -> skews.put(i, l.by());
                 case PROPOSE, STOP, TRIAL, LEASES, PROMOTE, ABORT -> n.does(() -> asks(n, l));
                 default -> { }
             }
--- a/src/test/java/mothcross/rig/FleetTest.java
+++ b/src/test/java/mothcross/rig/FleetTest.java
@@ -55,6 +55,9 @@
             {"one leaves", "members 7 for 60000\n20000 leave 3"},
             {"a new address", "members 7 for 100000\n20000 move 3 for 3000"},
             {"two by one name", "members 7 for 200000\n30000 twin 3"},
+            {"a clock behind, and nothing kept", "members 7 for 200000\n0 skew 3 by -15000\n20000 forget 3 for 1000"},
+            {"a clock ahead, then behind", "members 7 for 200000\n0 skew 3 by 60000\n20000 forget 3 for 1000\n"
+                + "60000 skew 3 by -60000\n70000 forget 3 for 1000"},
             {"old messages", "members 7 for 200000\n20000 restart 3 for 1000\n60000 old by 2000"},
             {"rolling", "members 6 for 200000\n20000 restart 0 for 1000\n24000 restart 1 for 1000\n"
                 + "28000 restart 2 for 1000\n32000 restart 3 for 1000\n36000 restart 4 for 1000\n"
--- a/src/test/java/mothcross/rig/PolicyTest.java
+++ b/src/test/java/mothcross/rig/PolicyTest.java
@@ -50,6 +50,8 @@
             {"trial, then all", FIVE + "8000 trial 0 by 1 for 9000\n15000 promote 2", "{COMMITTED=1}"},
             {"trial, taken back", FIVE + "8000 trial 0 by 1 for 9000\n15000 abort 2", "{WITHDRAWN=1}"},
             {"one pauses in a trial", FIVE + "8000 trial 0 by 1 for 9000\n9000 pause 4 for 9000\n12000 promote 2", null},
+            {"a clock goes back, and nothing is kept", FIVE + "0 skew 4 by 90000\n5000 forget 4 for 500\n6000 skew 4 by "
+                + "-90000\n7000 forget 4 for 500\n9000 propose 0 by 1 for 9000", "{COMMITTED=1}"},
             {"one leaves", FIVE + "8000 leave 4\n8100 propose 0 by 1 for 9000", "{COMMITTED=1}"}};
     }
 
