Register's explorer: answers are heard at once or never, and the last two faults are found

The changed voters were written as a scene and never played to their end, and two planted faults (SAME_TURN, NEW_VOTERS_ALONE) lay beyond what the memory held: each answer of a voter was a letter of its own, deliverable at any time. Heard later is as good as at once, since answers only add up until there are enough and what follows is again deliverable for ever; so a voter's step now ends with its answer heard or lost. Letters that a voter is done with are dropped only where no disk can be lost any more (before, a doubled letter to a new disk was not played).

--- a/src/main/java/mothcross/rig/explore/RegisterModel.java
+++ b/src/main/java/mothcross/rig/explore/RegisterModel.java
@@ -21,8 +21,8 @@
 /**
  * The register among a few voters and two writers, with the very classes that serve: every order of deliveries, each
  * message lost, late or delivered any number of times, writers that crash at every step, voters that crash before and
- * after each sync, and a disk that is lost. What was said stays deliverable for ever, so that loss, doubling and
- * lateness need no steps of their own; a voter's crash before its answer is that answer never delivered. Owns the
+ * after each sync, and a disk that is lost. What a writer says stays deliverable for ever, so that loss, doubling and
+ * lateness need no steps of their own; answers are heard at once or never, which stands for late ones too. Owns the
  * promises on the register, written out plainly; shares only data with what it checks.
  */
 public final class RegisterModel implements Explorer.Model<RegisterModel.State> {
@@ -33,7 +33,12 @@
     /** What is played: two steps by two writers; the voters changed meanwhile; from nothing; a lease beside a commit. */
     public enum Scene { TWO_STEPS, VOTERS, FOUNDING, LEASE }
 
-    private record Letter(String to, String from, Said what, long hash, String voter, long bare) { }
+    /** Of a writer to a voter; answers are heard at once or never. {@code bare}: without the voter's name. */
+    private record Letter(String to, String from, Said what, long hash, long bare) {
+        Turn turn() {
+            return what instanceof Said.Prepare p ? p.turn() : ((Said.Accept) what).turn();
+        }
+    }
 
     /** One state; {@code decided} is what some writer has seen decided, by revision. */
     public static final class State {
@@ -199,87 +204,80 @@
     private static void add(State n, String to, String from, Said what) {
         long h = hashOf(to + from + what);
         for (Letter l : n.said) if (l.hash == h) return;
-        boolean toVoter = to.charAt(0) == 'v';
-        // By the voter that it goes to or comes from; without its name, since voters are alike.
-        n.said.add(new Letter(to, from, what, h, toVoter ? to : from, hashOf((toVoter ? "" : to) + "/" + (toVoter
-            ? from : "") + what)));
+        // Without the voter's name, since voters are alike.
+        n.said.add(new Letter(to, from, what, h, hashOf("/" + from + what)));
     }
 
     /** What can have no effect any more is as if it had never been said. */
     private void prune(State n) {
-        if (fault != Fault.NONE) return;
+        // Where a voter may go back behind what it has handled, or two attempts have one turn, nothing is over.
+        boolean over = n.disks >= mostDisks && fault != Fault.SAME_TURN && fault != Fault.ANSWERS_BEFORE_SYNC;
+        if (!over) return;
         n.said.removeIf(l -> {
-            int i = l.to.charAt(1) - '0';
-            if (l.to.charAt(0) == 'v') {
-                Turn t = l.what instanceof Said.Prepare p ? p.turn() : ((Said.Accept) l.what).turn();
-                Voter.State v = n.voters[i];
-                boolean done = l.what instanceof Said.Prepare ? t.compareTo(v.promised()) <= 0
-                    : t.compareTo(v.promised()) < 0 || t.equals(v.acceptedAt());
-                return done && v.mark().startsWith("m");
-            }
-            Turn t = l.what instanceof Said.Promised p ? p.turn() : ((Said.Accepted) l.what).turn();
-            Writer w = n.writers[i];
-            boolean waits = l.what instanceof Said.Promised ? w.state() == Writer.State.ASKS
-                : w.state() == Writer.State.ASKS || w.state() == Writer.State.OFFERS;
-            return !waits || t.compareTo(w.turn()) < 0;
+            Voter.State v = n.voters[l.to.charAt(1) - '0'];
+            Turn t = l.turn();
+            return l.what instanceof Said.Prepare ? t.compareTo(v.promised()) <= 0
+                : t.compareTo(v.promised()) < 0 || t.equals(v.acceptedAt());
         });
     }
 
+    /**
+     * A voter handles a message, and its answer is heard at once or never. Heard later is as good as at once: answers
+     * only add up until there are enough, what follows from that is again said, and can be delivered at any later time.
+     */
     private void deliver(State s, Letter l, BiConsumer<String, State> to) {
-        int i = l.to.charAt(1) - '0';
+        int i = l.to.charAt(1) - '0', w = l.from.charAt(1) - '0';
+        if (i >= s.voters.length) return;
+        Voter v = new Voter(l.to, founders, s.voters[i]);
+        Voter.Step step = l.what instanceof Said.Prepare p ? v.on(p) : v.on((Said.Accept) l.what);
+        // That it is late is told by its silence as well: a writer may begin again at any time.
+        if (step.keep() == null) return;
+        Said.Receipt r = v.synced(step.keep());
+        Said answer = l.what instanceof Said.Prepare ? Said.Promised.of(r) : Said.Accepted.of(r);
         String what = l.to + " hears of " + l.from + " " + kind(l.what);
-        if (l.to.charAt(0) == 'v') {
-            if (i >= s.voters.length) return;
-            Voter v = new Voter(l.to, founders, s.voters[i]);
-            Voter.Step step = l.what instanceof Said.Prepare p ? v.on(p) : v.on((Said.Accept) l.what);
-            // That it is late is told by its silence as well: a writer may begin again at any time.
-            if (step.keep() == null) return;
-            State n = new State(s);
-            if (step.keep() != null) {
-                n.voters[i] = step.keep();
-                Said.Receipt r = v.synced(step.keep());
-                Said answer = l.what instanceof Said.Prepare ? Said.Promised.of(r) : Said.Accepted.of(r);
-                add(n, l.from, l.to, answer);
-                if (fault == Fault.ANSWERS_BEFORE_SYNC && s.disks < mostDisks) {
-                    State torn = new State(n);
-                    torn.voters[i] = s.voters[i];
-                    torn.disks = 1;
-                    prune(torn);
-                    to.accept(what + ", answers and crashes before its sync", torn);
-                }
-                if (fault == Fault.MOST_OF_REACHABLE && answer instanceof Said.Accepted a) {
-                    // Those that are not reachable are taken to agree.
-                    for (String other : founders) add(n, l.from, other, new Said.Accepted(a.turn(), "m" + other));
-                }
-                if (fault == Fault.NEW_VOTERS_ALONE && answer instanceof Said.Accepted a && i >= 3) {
-                    for (String other : founders) add(n, l.from, other, new Said.Accepted(a.turn(), "m" + other));
-                }
-            }
-            prune(n);
-            to.accept(what, n);
-            return;
+        State lost = new State(s);
+        lost.voters[i] = step.keep();
+        prune(lost);
+        to.accept(what + ", its answer is lost", lost);
+        State n = new State(s);
+        n.voters[i] = step.keep();
+        boolean heard = hear(n, w, l.to, answer);
+        // Planted: those that are not reachable, or not of the new set, are taken to agree.
+        boolean forged = answer instanceof Said.Accepted && (fault == Fault.MOST_OF_REACHABLE
+            || fault == Fault.NEW_VOTERS_ALONE && i >= 3);
+        if (forged) for (String o : founders) heard |= hear(n, w, o, new Said.Accepted(l.turn(), "m" + o));
+        if (!heard) return;
+        if (fault == Fault.ANSWERS_BEFORE_SYNC && s.disks < mostDisks) {
+            State torn = new State(n);
+            torn.voters[i] = s.voters[i];
+            torn.disks = 1;
+            to.accept(what + ", is heard and crashes before its sync", torn);
         }
-        Writer before = s.writers[i];
-        Said heard = l.what;
+        prune(n);
+        to.accept(what + " and is heard", n);
+    }
+
+    /** False where that changes nothing. */
+    private boolean hear(State n, int i, String from, Said said) {
+        Writer before = n.writers[i];
+        Said heard = said;
         if (fault == Fault.MARKS_IGNORED) {
-            String right = "m" + l.from;
+            String right = "m" + from;
             if (heard instanceof Said.Promised p) heard = new Said.Promised(p.turn(), right, p.at(), p.accepted());
             if (heard instanceof Said.Accepted a) heard = new Said.Accepted(a.turn(), right);
         }
         if (fault == Fault.FINISHES_NOTHING && heard instanceof Said.Promised p && p.accepted() != null
-            && p.accepted().revision() > s.known[i].revision()) {
-            heard = new Said.Promised(p.turn(), p.mark(), new Turn(1, "w", 0), s.known[i]);
+            && p.accepted().revision() > n.known[i].revision()) {
+            heard = new Said.Promised(p.turn(), p.mark(), new Turn(1, "w", 0), n.known[i]);
         }
         Writer w = new Writer(before);
-        if (heard instanceof Said.Promised p) w.on(l.from, p);
-        else if (heard instanceof Said.Accepted a) w.on(l.from, a);
-        if (w.shown().equals(before.shown()) && w.of(l.from).equals(before.of(l.from))) return;
-        State n = new State(s);
+        if (heard instanceof Said.Promised p) w.on(from, p);
+        else if (heard instanceof Said.Accepted a) w.on(from, a);
+        if (w.shown().equals(before.shown()) && w.of(from).equals(before.of(from))) return false;
         n.writers[i] = w;
         says(n, i);
         if (w.decided() != null && before.state() != Writer.State.DONE) decided(n, i, w.decided());
-        prune(n);
-        to.accept(what, n);
+        return true;
     }
 
     private static String kind(Said s) {
@@ -335,7 +333,7 @@
             for (Writer w : s.writers) b.append(w.of(name).replace("mv" + i, "m")).append('|');
             if (scene == Scene.VOTERS) b.append(i < 2 ? 0 : i == 2 ? 1 : 2);
             long letters = 0;
-            for (Letter l : s.said) if (l.voter.equals(name)) letters += l.bare * 0x9e3779b97f4a7c15L;
+            for (Letter l : s.said) if (l.to.equals(name)) letters += l.bare * 0x9e3779b97f4a7c15L;
             each[i] = hashOf(b) ^ letters;
         }
         Arrays.sort(each);
