--- a/src/main/java/mothcross/policy/Holder.java
+++ b/src/main/java/mothcross/policy/Holder.java
@@ -159,9 +159,8 @@
         return no;
     }
 
-    /** All that what comes next depends on, times as spans from now; for those who compare states. */
-    public String shown(double now) {
-        return life + " " + known.revision() + known.whole() + " " + plan + " " + boundFor + " "
-            + (isBound() ? Math.max(0, until - now) + " " + (now - askedAt) + yes : "") + texts;
+    /** The stage that it has bound itself for, by its first revision; -1: none. */
+    public long boundFor() {
+        return boundFor;
     }
 }
--- a/src/main/java/mothcross/rig/explore/ChangeModel.java
+++ b/src/main/java/mothcross/rig/explore/ChangeModel.java
@@ -1,5 +1,6 @@
 package mothcross.rig.explore;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,9 +19,11 @@
 
 /**
  * The life of two changes among three directors, with the very classes that hold, bind and drive, over a register that
- * takes one step at a time (what {@link RegisterModel} shows). Every order of hearing, asking, deciding and of time,
- * words and leases late or never, directors that crash and come back in a new life. Owns the promises on changes,
- * written out plainly: which plan a lookup that starts now would be decided by, at each director, in every state.
+ * takes one step at a time (what {@link RegisterModel} shows). Every order of hearing, binding, deciding and of time,
+ * words late or never, directors that crash and come back in a new life. Owns the promises on changes, written out
+ * plainly: which plan a lookup that starts now would be decided by, at each director, in every state. What is not
+ * played, since another order stands for it, is argued in docs/design/policy-change.md ("Explored and drawn"); time has
+ * no end here, since all that rests on it are spans.
  */
 public final class ChangeModel implements Explorer.Model<ChangeModel.State> {
     /** Faults that the checks have to find; NONE is the program as it is. */
@@ -30,7 +33,8 @@
     /** HOLD: leases off. STOP: leases on, who is late is left out. TRIAL: first a director alone, then all. */
     public enum Scene { HOLD, STOP, TRIAL }
 
-    private static final double LEASE = 2000, TICK = 1000, SPAN = 4 * TICK;
+    // Nothing waits for longer than SPAN: the deadline of a change, a lease and what clocks may differ by.
+    private static final double LEASE = 2000, TICK = 1000, SPAN = 3 * TICK;
     private static final int N = 3;
 
     private static final class Dir {
@@ -39,7 +43,7 @@
         Holder holder;
         Driver driver = new Driver();
         Said.YouMay lease;                              // on its way, and when it was asked for
-        long asked = -1;
+        double asked = -TICK;
 
         Dir() { }
 
@@ -57,6 +61,7 @@
     public static final class State {
         private final Dir[] dirs = new Dir[N];
         private List<Book> decided = new ArrayList<>();
+        private List<Long> hashes = new ArrayList<>();      // of each of them
         private List<double[]> points = new ArrayList<>();  // plan, and from when on nobody may decide by an older one
         private List<Said.Standing> words = new ArrayList<>();
         private List<Integer> of = new ArrayList<>();
@@ -68,6 +73,7 @@
         private State(State s) {
             for (int i = 0; i < N; i++) dirs[i] = s.dirs[i];
             decided = s.decided;
+            hashes = s.hashes;
             points = s.points;
             words = s.words;
             of = s.of;
@@ -84,19 +90,30 @@
         private Book latest() {
             return decided.get(decided.size() - 1);
         }
+
+        private void decides(Book b) {
+            decided = new ArrayList<>(decided);
+            hashes = new ArrayList<>(hashes);
+            decided.add(b);
+            hashes.add(hashOf(b));
+        }
     }
 
     private final Scene scene;
     private final Fault fault;
-    private final int mostTime, changes, crashes, drivers;
-    private final boolean begun;
-
-    /** {@code begun}: the first change is proposed, and all have heard of it; else from the very begin. */
-    public ChangeModel(Scene scene, Fault fault, int mostTime, int changes, int crashes, int drivers, boolean begun) {
+    private final int changes, crashes, drivers;
+    private final boolean begun, every;
+
+    /**
+     * {@code begun}: the first change is proposed, and all have heard of it; else from the very begin. {@code every}:
+     * also each step for which another order stands, so that the two can be held against each other where it is small.
+     */
+    public ChangeModel(Scene scene, Fault fault, int changes, int crashes, int drivers, boolean begun,
+                       boolean every) {
         this.begun = begun;
+        this.every = every;
         this.scene = scene;
         this.fault = fault;
-        this.mostTime = mostTime;
         this.changes = changes;
         this.crashes = crashes;
         this.drivers = drivers;
@@ -131,7 +148,7 @@
             throw new IllegalStateException(e);
         }
         s.proposed = begun ? 1 : 0;
-        s.decided.add(b);
+        s.decides(b);
         for (int i = 0; i < N; i++) {
             Dir d = s.dirs[i] = new Dir();
             d.holder = holder(i, 1, Book.first(Voters.named(List.of("d0", "d1", "d2")), LEASE));
@@ -144,11 +161,9 @@
     // ---- what can happen ----
 
     @Override public void next(State s, BiConsumer<String, State> to) {
-        if (s.now < mostTime) {
-            State n = new State(s);
-            n.now++;
-            to.accept("time goes on to " + n.now, checked(n));
-        }
+        State later = new State(s);
+        later.now++;
+        to.accept("time goes on", checked(later));
         for (int i = 0; i < N; i++) {
             Dir d = s.dirs[i];
             if (!d.up) {
@@ -156,21 +171,27 @@
                 continue;
             }
             hear(s, i, to);
-            say(s, i, to);
-            lease(s, i, to);
-            if (i < drivers) drive(s, i, to);
+            bind(s, i, to);
+            if (leasesLate()) lateLease(s, i, to);
+            if (i < drivers) {
+                hearWords(s, i, to);
+                drive(s, i, to);
+            }
             if (s.crashes < crashes) {
                 State n = new State(s);
-                n.own(i).up = false;
+                Dir d2 = n.own(i);
+                d2.up = false;
+                d2.lease = null;
                 n.crashes++;
                 to.accept(name(i) + " crashes", checked(n));
             }
         }
     }
 
-    /** The latest decided book, or the one before it, late. */
+    /** The latest decided book; one before it only where that is the planted fault. */
     private void hear(State s, int i, BiConsumer<String, State> to) {
-        for (int back = 0; back < 2 && back < s.decided.size(); back++) {
+        int most = every || fault == Fault.OLDER_PLAN_TAKEN ? 2 : 1;
+        for (int back = 0; back < most && back < s.decided.size(); back++) {
             Book b = s.decided.get(s.decided.size() - 1 - back);
             boolean older = b.revision() <= s.dirs[i].holder.known().revision();
             if (older && !(fault == Fault.OLDER_PLAN_TAKEN && b.revision() < s.dirs[i].holder.known().revision())) {
@@ -180,104 +201,155 @@
             Dir d = n.own(i);
             d.holder = older ? holder(i, d.life, b) : new Holder(d.holder);
             if (older) d.holder.has("A", true);
-            d.driver = new Driver(d.driver);
             d.holder.heard(b);
-            d.driver.heard(b, now(n));
+            knows(n, i, b);
             to.accept(name(i) + " hears of revision " + b.revision(), checked(n));
         }
+    }
+
+    private void knows(State n, int i, Book b) {
+        if (i >= drivers) return;
+        Dir d = n.dirs[i];
+        d.driver = new Driver(d.driver);
+        d.driver.heard(b, now(n));
+    }
+
+    /** All that was said of this stage, at once or never; one by one where who is late is left out. */
+    private void hearWords(State s, int i, BiConsumer<String, State> to) {
         Dir d = s.dirs[i];
-        if (i >= drivers || d.holder.known().change() == null) return;
+        Book b = d.holder.known();
+        boolean acts = every || b.revision() == s.latest().revision();
+        if (b.change() == null || !acts) return;
+        Driver all = new Driver(d.driver);
         for (int w = 0; w < s.words.size(); w++) {
             Said.Standing st = s.words.get(w);
-            long since = d.holder.known().change().since();
+            long since = b.change().since();
             if (st.since() != since && fault != Fault.OLD_STAGE_COUNTS) continue;
-            long life = fault == Fault.OLD_LIFE_COUNTS && d.holder.known().roll().containsKey(name(s.of.get(w)))
-                ? d.holder.known().roll().get(name(s.of.get(w))).life() : st.life();
+            long life = fault == Fault.OLD_LIFE_COUNTS && b.roll().containsKey(name(s.of.get(w)))
+                ? b.roll().get(name(s.of.get(w))).life() : st.life();
             Said.Standing heard = new Said.Standing(life, since, st.plan(), st.far(), "");
-            Driver after = new Driver(d.driver);
-            after.said(d.holder.known(), name(s.of.get(w)), heard);
-            if (same(after, d.driver, now(s))) continue;
-            State n = new State(s);
-            n.own(i).driver = after;
-            to.accept(name(i) + " hears that " + name(s.of.get(w)) + " is " + st.far(), n);
+            boolean alone = oneByOne();
+            Driver after = alone ? new Driver(d.driver) : all;
+            after.said(b, name(s.of.get(w)), heard);
+            if (alone) hears(s, i, after, name(s.of.get(w)) + " is " + st.far(), to);
         }
+        if (!oneByOne()) hears(s, i, all, "all that was said", to);
+    }
+
+    private boolean oneByOne() {
+        return every || scene == Scene.STOP || fault != Fault.NONE;
+    }
+
+    private boolean leasesLate() {
+        return every || fault == Fault.LEASE_FROM_ANSWER;
     }
 
-    /** How far it is with the stage that it knows of. */
-    private void say(State s, int i, BiConsumer<String, State> to) {
+    private void hears(State s, int i, Driver after, String what, BiConsumer<String, State> to) {
+        if (same(after, s.dirs[i].driver, now(s))) return;
+        State n = new State(s);
+        n.own(i).driver = after;
+        to.accept(name(i) + " hears that " + what, n);
+    }
+
+    /** It says that it is ready, and is bound from then on; it may do so at any time, or never. */
+    private void bind(State s, int i, BiConsumer<String, State> to) {
         Dir d = s.dirs[i];
         Change c = d.holder.known().change();
-        if (c == null || c.stage() == Change.Stage.TRIAL || !d.holder.isSeated()) return;
-        Said.Far far = null;
-        Holder h = new Holder(d.holder);
-        if (c.stage() == Change.Stage.BINDING && (fault == Fault.READY_UNBOUND || h.binds(c.since(), now(s)))) {
-            far = Said.Far.READY;
-        } else if (c.stage() == Change.Stage.SETTLING && h.plan() == h.known().plan().number()) {
-            far = Said.Far.TAKEN;
+        if (c == null || !d.holder.isSeated()) return;
+        if (every && c.stage() == Change.Stage.SETTLING && d.holder.plan() == d.holder.known().plan().number()) {
+            State n = new State(s);
+            if (says(n, i, Said.Far.TAKEN)) to.accept(name(i) + " says that it is TAKEN", checked(n));
         }
-        if (far == null) return;
-        Said.Standing st = new Said.Standing(d.life, c.since(), h.known().plan().number(), far, "");
-        for (int w = 0; w < s.words.size(); w++) if (s.of.get(w) == i && s.words.get(w).equals(st)) return;
+        if (c.stage() != Change.Stage.BINDING) return;
+        Holder h = new Holder(d.holder);
+        if (fault != Fault.READY_UNBOUND && !h.binds(c.since(), now(s))) return;
         State n = new State(s);
         n.own(i).holder = h;
-        n.words = new ArrayList<>(s.words);
-        n.of = new ArrayList<>(s.of);
-        // Of stages that are over nothing counts any more.
-        for (int w = n.words.size() - 1; w >= 0 && fault != Fault.OLD_STAGE_COUNTS; w--) {
-            Change at = s.latest().change();
-            if (at != null && n.words.get(w).since() >= at.since()) continue;
+        if (says(n, i, Said.Far.READY)) to.accept(name(i) + " says that it is READY", checked(n));
+    }
+
+    private static boolean says(State n, int i, Said.Far far) {
+        Book b = n.dirs[i].holder.known();
+        Said.Standing st = new Said.Standing(n.dirs[i].life, b.change().since(), b.plan().number(), far, "");
+        for (int w = 0; w < n.words.size(); w++) if (n.of.get(w) == i && n.words.get(w).equals(st)) return false;
+        n.words = new ArrayList<>(n.words);
+        n.of = new ArrayList<>(n.of);
+        n.words.add(st);
+        n.of.add(i);
+        return true;
+    }
+
+    /** What follows by itself: that a plan is taken up is said, every lease is asked for, and what is over is dropped. */
+    private void settled(State n) {
+        double now = now(n);
+        for (int i = 0; i < N; i++) {
+            Dir d = n.dirs[i];
+            if (!d.up || !d.holder.isSeated()) continue;
+            Book b = d.holder.known();
+            Change c = b.change();
+            if (!every && c != null && c.stage() == Change.Stage.SETTLING && d.holder.plan() == b.plan().number()) {
+                says(n, i, Said.Far.TAKEN);
+            }
+            if (leasesLate() || !d.holder.isBound() || d.holder.until() >= now + LEASE) continue;
+            // A longer lease only lets it decide for longer: the latest there can be stands for all sooner ones.
+            Holder h = new Holder(d.holder);
+            Said.MayI m = h.asks(now);
+            if (m == null || !(yes(n, i, m) || fault == Fault.LEASE_AFTER_COMMIT)) continue;
+            for (int v = 0; v < N; v++) h.on(name(v), new Said.YouMay(m.number(), "m" + v, true, 0));
+            n.own(i).holder = h;
+        }
+        Book b = n.latest();
+        long since = b.change() == null ? -1 : b.change().since();
+        for (int w = n.words.size() - 1; w >= 0; w--) {
+            Said.Standing st = n.words.get(w);
+            boolean over = st.since() != since && fault != Fault.OLD_STAGE_COUNTS
+                || b.seat(name(n.of.get(w)), st.life()) == null && fault != Fault.OLD_LIFE_COUNTS;
+            if (!over) continue;
+            n.words = new ArrayList<>(n.words);
+            n.of = new ArrayList<>(n.of);
             n.words.remove(w);
             n.of.remove(w);
         }
-        n.words.add(st);
-        n.of.add(i);
-        to.accept(name(i) + " says that it is " + far, checked(n));
     }
 
-    /** Asked of the register: yes where the plan asked for was in force when it was asked; told at any later time. */
-    private void lease(State s, int i, BiConsumer<String, State> to) {
+    /** The register says yes where the plan asked for is in force when it is asked. */
+    private static boolean yes(State s, int i, Said.MayI m) {
+        Book b = s.latest();
+        return b.plan().number() == m.plan() && b.seats(name(i), m.life());
+    }
+
+    /** The answer comes at any later time; planted: the lease counts from then. */
+    private void lateLease(State s, int i, BiConsumer<String, State> to) {
         Dir d = s.dirs[i];
         if (d.lease != null) {
             State n = new State(s);
             Dir x = n.own(i);
+            x.lease = null;
             x.holder = new Holder(d.holder);
-            if (fault == Fault.LEASE_FROM_ANSWER) {
-                Said.MayI again = x.holder.asks(now(s) + 10 * LEASE);
-                x.holder = new Holder(d.holder);
-                if (again != null && x.holder.isBound()) {
-                    x.holder = new Holder(x.holder);
-                    x.holder.binds(-1, 0);
-                }
-            }
-            for (String v : List.of("d0", "d1", "d2")) {
-                x.holder.on(v, new Said.YouMay(d.lease.number(), "m" + v.charAt(1), true, 0));
+            if (fault != Fault.LEASE_FROM_ANSWER) {
+                for (int v = 0; v < N; v++) x.holder.on(name(v), new Said.YouMay(d.lease.number(), "m" + v, true, 0));
+            } else if (x.holder.isBound()) {
+                x.holder = late(x.holder, now(s));
             }
-            if (fault == Fault.LEASE_FROM_ANSWER && x.holder.isBound()) x.holder = late(x.holder, now(s));
-            x.lease = null;
             to.accept(name(i) + " gets its lease", checked(n));
         }
-        // Sooner than at half of its lease it may ask as well; it would get less by it.
         if (d.holder.isBound() && d.holder.until() - now(s) > LEASE / 2) return;
         Holder h = new Holder(d.holder);
         Said.MayI m = h.asks(now(s));
-        if (m == null) return;
-        Book b = s.latest();
-        boolean yes = b.plan().number() == m.plan() && b.seats(name(i), m.life());
-        if (fault == Fault.LEASE_AFTER_COMMIT) yes = true;
-        if (!yes) return;
+        if (m == null || !yes(s, i, m)) return;
         State n = new State(s);
         Dir x = n.own(i);
         x.holder = h;
+        x.asked = now(s);
         x.lease = new Said.YouMay(m.number(), "", true, 0);
         to.accept(name(i) + " asks for a lease", n);
     }
 
-    /** Planted: as if the lease counted from when the answer came. */
-    private Holder late(Holder h, double now) {
+    private static Holder late(Holder h, double now) {
         Holder x = new Holder(h);
         Said.MayI m = x.asks(now);
         if (m == null) return h;
-        for (String v : List.of("d0", "d1", "d2")) x.on(v, new Said.YouMay(m.number(), "m" + v.charAt(1), true, 0));
+        for (int v = 0; v < N; v++) x.on(name(v), new Said.YouMay(m.number(), "m" + v, true, 0));
         return x;
     }
 
@@ -304,16 +376,14 @@
             step(s, i, new Move.Abort(c.id(), -1, "an operator's word"), false, to);
         }
         if (m != null) step(s, i, m, false, to);
-        // What it sends to one whose port nobody holds comes back.
+        // What it sends to one whose port nobody holds comes back, and it goes by that.
         for (int j = 0; j < N; j++) {
             boolean gone = !s.dirs[j].up || fault == Fault.SILENCE_IS_DEATH;
-            if (j == i || !gone || b.change() == null) continue;
+            if (j == i || !gone || c == null) continue;
             Driver after = new Driver(d.driver);
             after.refused(b, "h", j);
-            if (same(after, d.driver, now(s))) continue;
-            State n = new State(s);
-            n.own(i).driver = after;
-            to.accept(name(i) + " finds nobody at " + name(j), n);
+            if (every && !same(after, d.driver, now(s))) hears(s, i, after, "nobody is at " + name(j), to);
+            if (after.wants(b, now(s)) instanceof Move.Strike strike) step(s, i, strike, false, to);
         }
     }
 
@@ -333,8 +403,7 @@
             return;
         }
         State n = new State(s);
-        n.decided = new ArrayList<>(s.decided);
-        n.decided.add(b);
+        n.decides(b);
         if (proposes) n.proposed++;
         double now = now(n);
         if (m instanceof Move.Commit) {
@@ -345,12 +414,11 @@
             n.points = new ArrayList<>(s.points);
             n.points.add(new double[] {t.plan(), now});
         }
-        // Whoever decided it knows of it, or has crashed: both are tried.
+        // Whoever decided it knows of it, or crashes next.
         Dir d = n.own(i);
         d.holder = new Holder(d.holder);
-        d.driver = new Driver(d.driver);
         d.holder.heard(b);
-        d.driver.heard(b, now);
+        knows(n, i, b);
         to.accept(name(i) + " decides " + m.getClass().getSimpleName() + ", revision " + b.revision(), checked(n));
     }
 
@@ -371,11 +439,10 @@
         // It serves only once it is on the roll in its new life, and has heard so.
         try {
             Book b = new Move.Enrol(Map.of(name(i), new Book.Seat(d.life, "h", i, false))).after(s.latest());
-            n.decided = new ArrayList<>(s.decided);
-            n.decided.add(b);
+            n.decides(b);
             d.holder = holder(i, d.life, kept);
             d.holder.heard(b);
-            d.driver.heard(b, now(n));
+            knows(n, i, b);
             to.accept(name(i) + " is back and enrols, revision " + b.revision(), checked(n));
         } catch (Move.Refused e) {
             throw new IllegalStateException(e);
@@ -393,6 +460,7 @@
     // ---- what has to hold ----
 
     private State checked(State n) {
+        settled(n);
         if (n.broken != null) return n;
         double now = now(n);
         for (int i = 0; i < N; i++) {
@@ -416,17 +484,75 @@
         return s.broken;
     }
 
-    @Override public long hash(State s) {
-        StringBuilder b = new StringBuilder(512);
+    /** Who decides by which plan, beside what is decided: what the promises speak of; -1 by none. */
+    public String seen(State s) {
+        Book l = s.latest();
+        StringBuilder b = new StringBuilder().append(l.plan().number()).append(l.plan().main()).append('/')
+            .append(l.plan().trial()).append(l.change() == null ? "" : l.change().stage());
         for (Dir d : s.dirs) {
-            b.append(d.up).append(d.life).append(d.holder.shown(now(s))).append(d.driver.shown(now(s), SPAN))
-                .append(d.lease == null).append(d.holder.known()).append('|');
+            b.append(' ').append(d.up && d.holder.stopped(now(s)) == Holder.Stopped.NO ? d.holder.plan() : -1);
+        }
+        return b.toString();
+    }
+
+    /** All of it that what comes next depends on, but for its revisions: how earlier changes ended is for operators. */
+    private static long hashOf(Book b) {
+        HashStream64 h = Hashing.komihash5_0().hashStream();
+        put(h, b.plan());
+        b.roll().forEach((n, x) -> h.putString(n).putLong(x.life()).putBoolean(x.excluded()));
+        Change c = b.change();
+        if (c != null) put(h.putString(c.id()).putInt(c.stage().ordinal()).putInt(c.mode().ordinal()), c.target());
+        return h.getAsLong();
+    }
+
+    private static void put(HashStream64 h, Plan p) {
+        h.putLong(p.number()).putString(p.main()).putString(p.trial()).putBoolean(p.leases());
+    }
+
+    /** Revisions count only as equal to the latest one's, or not: how far back an older one is makes no difference. */
+    private long back(State s, long revision) {
+        long by = s.latest().revision() - revision;
+        return every ? Math.min(2, by) : fault == Fault.NONE ? Math.min(1, by) : by;
+    }
+
+    /** What it shows, without the stage: that is the book's that it knows. */
+    private static long hashOf(Driver d, double now) {
+        String all = d.shown(now, SPAN);
+        return Hashing.komihash5_0().hashCharsToLong(all.substring(all.indexOf(' ')));
+    }
+
+    private static long since(Book b) {
+        return b.change() == null ? -1 : b.change().since();
+    }
+
+    @Override public long hash(State s) {
+        HashStream64 h = Hashing.komihash5_0().hashStream();
+        double now = now(s);
+        long first = s.decided.get(0).revision();
+        for (int i = 0; i < N; i++) {
+            Dir d = s.dirs[i];
+            h.putBoolean(d.up).putLong(d.life);
+            // Of one that is down only what it does next counts: it enrols, and hears what is decided then.
+            if (!d.up && fault != Fault.SERVES_WHAT_IT_KEPT) continue;
+            Holder x = d.holder;
+            h.putLong(s.hashes.get((int) (x.known().revision() - first))).putLong(back(s, x.known().revision()));
+            h.putBoolean(since(x.known()) == since(s.latest())).putBoolean(x.boundFor() == since(x.known()));
+            h.putLong(x.plan()).putDouble(x.isBound() ? Math.max(0, x.until() - now) : -1).putBoolean(d.lease == null);
+            if (leasesLate()) h.putDouble(Math.min(d.lease == null ? TICK : LEASE, now - d.asked));
+            if (i < drivers && x.known().change() != null) h.putLong(hashOf(d.driver, now));
+        }
+        h.putLong(s.hashes.get(s.hashes.size() - 1)).putInt(s.proposed).putInt(s.crashes).putBoolean(s.broken == null);
+        if (every && s.hashes.size() > 1) h.putLong(s.hashes.get(s.hashes.size() - 2));
+        double floor = -1;
+        for (double[] p : s.points) if (p[1] <= now) floor = Math.max(floor, p[0]);
+        h.putDouble(floor);
+        for (double[] p : s.points) if (p[0] > floor) h.putDouble(p[0]).putDouble(p[1] - now);
+        long words = 0;
+        for (int w = 0; w < s.words.size(); w++) {
+            Said.Standing st = s.words.get(w);
+            words += Hashing.komihash5_0().hashStream().putInt(s.of.get(w)).putLong(st.life())
+                .putLong(since(s.latest()) - st.since()).putInt(st.far().ordinal()).getAsLong();
         }
-        b.append(s.latest()).append(s.now).append(s.proposed).append(s.crashes).append(s.broken);
-        if (s.decided.size() > 1) b.append(s.decided.get(s.decided.size() - 2));
-        List<String> words = new ArrayList<>();
-        for (int w = 0; w < s.words.size(); w++) words.add(s.of.get(w) + s.words.get(w).toString());
-        words.sort(null);
-        return Hashing.komihash5_0().hashCharsToLong(b.append(words).toString());
+        return h.putLong(words).getAsLong();
     }
 }
--- a/src/main/java/mothcross/rig/explore/Explore.java
+++ b/src/main/java/mothcross/rig/explore/Explore.java
@@ -23,8 +23,6 @@
 
     @Option(names = "--disks", defaultValue = "0", description = "that may be lost, 0 or 1") private int disks;
 
-    @Option(names = "--time", defaultValue = "5", description = "half leases that go by") private int time;
-
     @Option(names = "--changes", defaultValue = "2") private int changes;
 
     @Option(names = "--drivers", defaultValue = "2", description = "directors that drive, of three") private int drivers;
@@ -32,6 +30,9 @@
     @Option(names = "--begun", description = "the first change is proposed already, and known to all")
     private boolean begun;
 
+    @Option(names = "--every-step", description = "also those for which another order stands, as the design note argues")
+    private boolean every;
+
     @Option(names = "--most", defaultValue = "20000000", description = "states (default: ${DEFAULT-VALUE})")
     private long most;
 
@@ -48,8 +49,8 @@
         try {
             r = register ? new Explorer<>(new RegisterModel(RegisterModel.Scene.valueOf(at),
                 RegisterModel.Fault.valueOf(fault), attempts, crashes, disks)).all(most)
-                : new Explorer<>(new ChangeModel(ChangeModel.Scene.valueOf(at), ChangeModel.Fault.valueOf(fault), time,
-                    changes, crashes, drivers, begun)).all(most);
+                : new Explorer<>(new ChangeModel(ChangeModel.Scene.valueOf(at), ChangeModel.Fault.valueOf(fault), changes,
+                    crashes, drivers, begun, every)).all(most);
         } catch (IllegalArgumentException e) {
             System.err.println("mothcross: " + e.getMessage());
             return 2;
--- a/src/main/java/mothcross/rig/explore/Explorer.java
+++ b/src/main/java/mothcross/rig/explore/Explorer.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
@@ -45,6 +47,7 @@
 
     private final Model<S> model;
     private final LongHashSet[] seen = new LongHashSet[STRIPES];
+    private final Map<String, String> said = new ConcurrentHashMap<>();     // each step's words once
     private final AtomicLong count = new AtomicLong();
 
     public Explorer(Model<S> model) {
@@ -77,7 +80,7 @@
                 model.next(a.state, (what, s) -> {
                     if (!isNew(s)) return;
                     count.incrementAndGet();
-                    At<S> there = new At<>(s, new Way(a.way, what));
+                    At<S> there = new At<>(s, new Way(a.way, said.computeIfAbsent(what, k -> k)));
                     if (model.broken(s) != null) bad.compareAndSet(null, there);
                     all.add(there);
                 });
