--- a/src/main/java/mothcross/cli/PolicyCommand.java
+++ b/src/main/java/mothcross/cli/PolicyCommand.java
@@ -153,7 +153,8 @@
 
     /** Seconds, as 30, 30s or 2m. */
     static double seconds(String s) {
-        if (!s.matches("\\d+(\\.\\d+)?(ms|s|m)?")) throw new IllegalArgumentException(s + " is no time: 30s, 500ms, 2m");
+        if (!s.matches("\\d+(\\.\\d+)?(ms|s|m)?")) throw new IllegalArgumentException(s
+            + " is no time: 30s, 500ms, 2m");
         double n = Double.parseDouble(s.replaceAll("[ms]+$", ""));
         return s.endsWith("ms") ? n / 1000 : s.endsWith("m") ? 60 * n : n;
     }
@@ -245,7 +246,8 @@
                 + "all directors share, routes") Path file,
                 @Option(names = "--deadline", defaultValue = "30s") String deadline,
                 @Option(names = "--mode", defaultValue = "hold", description = "hold or stop") String mode,
-                @Option(names = "--canary", paramLabel = "share=S|names=A,B", description = "first for a part") String part,
+                @Option(names = "--canary", paramLabel = "share=S|names=A,B",
+                    description = "first for a part") String part,
                 @Option(names = "--note", defaultValue = "") String note) {
         return asked(() -> {
             if (!List.of("hold", "stop").contains(mode)) return Main.plainly("--mode is hold or stop");
@@ -327,7 +329,8 @@
             ? " decides by plan " : " decides nothing (" + o.get("stopped").getAsString() + "); plan ")
             + p.get("number").getAsString() + ", text " + (text.isEmpty() ? "none" : text.substring(0, 12))
             + ", leases " + (p.get("leases").getAsBoolean() ? "on" : "off") + "; revision "
-            + o.get("revision").getAsString() + (o.has("roll") ? ", directors " + o.getAsJsonArray("roll").size() : ""));
+            + o.get("revision").getAsString() + (o.has("roll") ? ", directors " + o.getAsJsonArray("roll").size()
+                : ""));
         JsonObject c = o.getAsJsonObject("change");
         if (c != null) {
             System.out.println("change " + c.get("id").getAsString() + " by " + c.get("by").getAsString() + ": "
@@ -385,7 +388,8 @@
         });
     }
 
-    @Command(name = "diff", description = "Lines of the text in force and of a file, both evaluated: exit state 1 where "
+    @Command(name = "diff",
+        description = "Lines of the text in force and of a file, both evaluated: exit state 1 where "
         + "they differ.", mixinStandardHelpOptions = true)
     int diff(@Mixin FleetCommand.Whom whom, @Parameters(paramLabel = "FILE") Path file) {
         return asked(() -> {
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -10,7 +10,8 @@
 final class Counters {
     private static final Logger LOG = LoggerFactory.getLogger(Counters.class);
     long lookups, handled, unchanged, bounced, givenUp, left, hops, connects, up, probes, probesFit;
-    long badHead, longHead, badPath, badField, badNode, badFrame, silent, slowReaders, crowded, idle, slowHead, reloads, notCurrent;
+    long badHead, longHead, badPath, badField, badNode, badFrame, silent, slowReaders, crowded, idle, slowHead,
+        reloads, notCurrent;
     /** What must never happen: asserted in tests and debug runs, counted here in release. */
     long faults, unanswered, broken;
     private static final int MOST_WARNINGS = 20;
--- a/src/main/java/mothcross/net/Current.java
+++ b/src/main/java/mothcross/net/Current.java
@@ -1,6 +1,8 @@
 package mothcross.net;
 
-/** Whether this director may decide lookups now, where the fleet agrees on what they are decided by; from any thread. */
+/**
+ * Whether this director may decide lookups now, where the fleet agrees on what they are decided by; from any thread.
+ */
 public interface Current {
     boolean mayStart();
 
--- a/src/main/java/mothcross/net/Rulebook.java
+++ b/src/main/java/mothcross/net/Rulebook.java
@@ -4,8 +4,9 @@
 import mothcross.route.RouteTable;
 
 /**
- * The tables of routes in force: one, and while a change is tried a second for some lookups. Each lookup is looked at by
- * one of them, chosen when it comes, and keeps what that said. Under the desk's lock. Must never mix the two for one
+ * The tables of routes in force: one, and while a change is tried a second for some lookups. Each lookup is looked at
+ * by one of them, chosen when it comes, and keeps what that said. Under the desk's lock. Must never mix the two for
+ * one
  * lookup, nor decide which text is in force.
  */
 final class Rulebook {
--- a/src/main/java/mothcross/policy/Book.java
+++ b/src/main/java/mothcross/policy/Book.java
@@ -9,12 +9,15 @@
 
 /**
  * The one value that the register holds: who votes, who may serve, the plan in force, the change under way, and how the
- * last ones ended, and how long a lease is, the same for all. Each decided book has the revision after the one that it was made from. Owns what a book holds; how
+ * last ones ended, and how long a lease is, the same for all. Each decided book has the revision after the one that
+ * it was made from. Owns what a book holds; how
  * one follows from another is {@link Move}'s. {@code whole} false: the roll has only the one it was cut for.
  */
 public record Book(long revision, double leaseMs, Voters voters, Map<String, Seat> roll, Plan plan, Change change,
                    List<Ended> lately, boolean whole) {
-    /** A director that may serve: its process's life, where it is reached, and whether its lease is being waited out. */
+    /**
+     * A director that may serve: its process's life, where it is reached, and whether its lease is being waited out.
+     */
     public record Seat(long life, String host, int port, boolean excluded) { }
 
     /** How a change ended; {@code plan} is the number that was in force from then on. */
@@ -77,7 +80,8 @@
     /** Short, and the same for equal books only. */
     @Override public String toString() {
         StringBuilder s = new StringBuilder().append(revision).append(whole ? "" : "~").append(" v")
-            .append(voters.number()).append(voters.marks().values()).append(" p").append(plan.number()).append(plan.main())
+            .append(voters.number()).append(voters.marks().values()).append(" p").append(plan.number())
+            .append(plan.main())
             .append('/').append(plan.trial()).append(plan.leases() ? "L" : "");
         roll.forEach((n, x) -> s.append(' ').append(n).append('@').append(x.life).append(x.excluded ? "!" : ""));
         if (change != null) {
--- a/src/main/java/mothcross/policy/Driver.java
+++ b/src/main/java/mothcross/policy/Driver.java
@@ -181,9 +181,12 @@
         return all || now - began >= leaseOver(b) ? new Move.Settle(b.plan().number()) : null;
     }
 
-    /** All that what comes next depends on, times as spans from now, at most {@code span}; the stage up to the blank. */
+    /**
+     * All that what comes next depends on, times as spans from now, at most {@code span}; the stage up to the blank.
+     */
     public String shown(double now, double span) {
-        StringBuilder s = new StringBuilder().append(since).append(stage).append(' ').append(Math.min(span, now - began))
+        StringBuilder s = new StringBuilder().append(since).append(stage).append(' ').append(Math.min(span,
+            now - began))
             .append(new TreeMap<>(words)).append(ended);
         excludedAt.forEach((w, at) -> s.append(w).append(Math.min(span, now - at)));
         return s.toString();
--- a/src/main/java/mothcross/policy/Holder.java
+++ b/src/main/java/mothcross/policy/Holder.java
@@ -6,8 +6,8 @@
 import java.util.TreeSet;
 
 /**
- * What one director holds of the policy: the latest decided book it has heard of, the plan it decides by, and whether it
- * is bound. A bound director decides only until its lease is over; leases are given by most of the voters and count
+ * What one director holds of the policy: the latest decided book it has heard of, the plan it decides by, and whether
+ * it is bound. A bound director decides only until its lease is over; leases are given by most of the voters and count
  * from when they were asked for. It binds itself when it says that it is ready, and is free once the stage is over.
  * Spans on the own clock only. Owns that; must never decide by a plan that is not decided, by an older one than it has
  * heard of, or past its lease.
--- a/src/main/java/mothcross/policy/Move.java
+++ b/src/main/java/mothcross/policy/Move.java
@@ -69,7 +69,9 @@
         }
     }
 
-    /** A director that serves no more: it said so, nobody holds its address, its lease is over, or an operator's word. */
+    /**
+     * A director that serves no more: it said so, nobody holds its address, its lease is over, or an operator's word.
+     */
     record Strike(String name, long life, String why) implements Move {
         @Override public Book on(Book b) throws Refused {
             need(b.seat(name, life) != null, name + " is not on the roll in that life");
--- a/src/main/java/mothcross/policy/Party.java
+++ b/src/main/java/mothcross/policy/Party.java
@@ -41,7 +41,8 @@
     public record Tell(String what, Map<String, Object> with) implements Work { }
 
     /** What a Party counts; each number only grows. */
-    public enum Count { WRITES_BEGUN, WRITES_DONE, WRITES_LOST, SYNCS, DECIDED_HEARD, LEASES, LEASE_REFUSALS, POLLS, TAKEOVERS }
+    public enum Count { WRITES_BEGUN, WRITES_DONE, WRITES_LOST, SYNCS, DECIDED_HEARD, LEASES, LEASE_REFUSALS, POLLS,
+        TAKEOVERS }
 
     private static final double AGAIN = 200, LEARN = 300, ENROL = 500, POLL = 250, IDLE_LEARN = 3000, TAKEOVER = 1500,
         RANK = 700, LOST_MIN = 50, LOST_RANDOM = 250, SAYS_AGAIN = 1000, FETCH_AGAIN = 400;
--- a/src/main/java/mothcross/policy/Voters.java
+++ b/src/main/java/mothcross/policy/Voters.java
@@ -6,8 +6,9 @@
 import java.util.TreeMap;
 
 /**
- * Who decides: a fixed, numbered set. A voter is its name and its mark, drawn when its disk was first written: one whose
- * disk is gone comes back under another mark, and counts no more. Number 0 is what the operators' files name, before
+ * Who decides: a fixed, numbered set. A voter is its name and its mark, drawn when its disk was first written: one
+ * whose disk is gone comes back under another mark, and counts no more. Number 0 is what the operators' files name,
+ * before
  * any mark is known: there all have to agree, not only most.
  */
 public record Voters(long number, Map<String, String> marks) {
--- a/src/main/java/mothcross/policy/Writer.java
+++ b/src/main/java/mothcross/policy/Writer.java
@@ -101,7 +101,8 @@
     public Map<String, Said> says() {
         Map<String, Said> all = new LinkedHashMap<>();
         if (state != State.ASKS && state != State.OFFERS) return all;
-        Said s = state == State.ASKS ? new Said.Prepare(turn, known.revision() == 0 ? founders : Set.of()) : new Said.Accept(turn, offered);
+        Said s = state == State.ASKS ? new Said.Prepare(turn, known.revision() == 0 ? founders : Set.of())
+            : new Said.Accept(turn, offered);
         for (String n : waitsFor()) all.put(n, s);
         return all;
     }
--- a/src/main/java/mothcross/policy/net/PolicyNode.java
+++ b/src/main/java/mothcross/policy/net/PolicyNode.java
@@ -97,7 +97,8 @@
     }
 
     public void begin() {
-        LOG.atInfo().addKeyValue("name", party.name).addKeyValue("mark", mark).addKeyValue("life", party.holder().life())
+        LOG.atInfo().addKeyValue("name", party.name).addKeyValue("mark", mark).addKeyValue("life",
+            party.holder().life())
             .addKeyValue("revision", party.known().revision()).log("policy: begins");
         thread.start();
     }
@@ -300,7 +301,8 @@
                 return status();
             }
             case "bring" -> party.bring(p[1], body);
-            case "brought" -> o.addProperty("state", party.texts().has(p[1]) ? "kept" : party.texts().fault(p[1]) != null
+            case "brought" -> o.addProperty("state", party.texts().has(p[1]) ? "kept"
+                : party.texts().fault(p[1]) != null
                 ? party.texts().fault(p[1]) : party.texts().isChecking(p[1]) ? "checking" : "unknown");
             case "propose" -> {
                 Proposal x = Codec.GSON.fromJson(new String(body, java.nio.charset.StandardCharsets.UTF_8),
@@ -311,18 +313,21 @@
                 party.asks(now(), x.id, new Move.Propose(x.id, x.digest, size, party.name, x.note, x.mode, x.deadlineMs,
                     x.canary, x.leases));
             }
-            case "abort" -> party.asks(now(), p[1], new Move.Abort(p[2], -1, "aborted by an operator at " + party.name));
+            case "abort" -> party.asks(now(), p[1], new Move.Abort(p[2], -1, "aborted by an operator at "
+                + party.name));
             case "promote" -> party.asks(now(), p[1], new Move.Promote(p[2]));
             case "strike" -> {
                 Book b = party.known();
                 Book.Seat s = b.roll().get(p[2]);
-                if (s == null) return failed(b.whole() ? p[2] + " is not on the roll" : "ask a voter: the roll is there");
+                if (s == null) return failed(b.whole() ? p[2] + " is not on the roll"
+                    : "ask a voter: the roll is there");
                 party.asks(now(), p[1], new Move.Strike(p[2], s.life(), "struck by an operator at " + party.name));
             }
             case "voters" -> {
                 Map<String, String> marks = new TreeMap<>();
                 for (String n : p[2].split(",")) {
-                    String m = n.contains("=") ? n.substring(n.indexOf('=') + 1) : party.known().voters().marks().get(n);
+                    String m = n.contains("=") ? n.substring(n.indexOf('=') + 1)
+                        : party.known().voters().marks().get(n);
                     if (m == null) return failed(n + " is no voter yet: name it with its mark, NAME=MARK");
                     marks.put(n.replaceAll("=.*", ""), m);
                 }
--- a/src/main/java/mothcross/rig/FaultScript.java
+++ b/src/main/java/mothcross/rig/FaultScript.java
@@ -20,8 +20,9 @@
      * and starts it again on what it kept, FORGET on nothing, MOVE at a new address; TWIN starts another process by
      * its name; LEAVE asks it to end; LOSS loses this share of messages (of those from and to whom), SLOW handles them
      * so many times as slowly, DELAY adds so many ms; CUT drops what WHOM sends to TO; FLAP cuts and mends each
-     * {@code by} ms, both ways; OLD sends again what was sent before; SKEW has the Unix clock off by so many ms from the
-     * next start on; REFUSE has the disk refuse to write. LOOKUPS asks so many lookups a second of each. Of the policy:
+     * {@code by} ms, both ways; OLD sends again what was sent before; SKEW has the Unix clock off by so many ms from
+     * the next start on; REFUSE has the disk refuse to write. LOOKUPS asks so many lookups a second of each. Of the
+     * policy:
      * PROPOSE has a director propose text number {@code by}, to be through in {@code lasts} ms, STOP the same in that
      * mode, TRIAL first for a part; PROMOTE and ABORT whatever is under way, LEASES turns them on (by 1) or off.
      */
@@ -47,7 +48,10 @@
         this.limit = limit;
     }
 
-    /** {@code members N for MS [limit PER_S]} first, then a line a fault; throws with the line's number where one can't be read. */
+    /**
+     * {@code members N for MS [limit PER_S]} first, then a line a fault; throws with the line's number where one
+     * can't be read.
+     */
     public static FaultScript of(String text) {
         FaultScript s = null;
         int number = 0;
--- a/src/main/java/mothcross/rig/PolicyFigures.java
+++ b/src/main/java/mothcross/rig/PolicyFigures.java
@@ -58,7 +58,10 @@
             {"the coordinator is killed", "%d kill " + n / 2 + "\n"}};
     }
 
-    /** From propose until the last director that runs has taken the plan up; and the overlap, from the first to the last. */
+    /**
+     * From propose until the last director that runs has taken the plan up; and the overlap, from the first to the
+     * last.
+     */
     private static void times() {
         System.out.println("| directors | trouble | until all decide by it, s (p50 / p99 / most) | first to last, s | "
             + "through | not |\n|---|---|---|---|---|---|");
@@ -83,7 +86,8 @@
                     all.add(r[0]);
                     overlap.add(r[1]);
                 }
-                System.out.println("| " + n + " | " + t[0] + " | " + row(all) + " | " + row(overlap) + " | " + all.size()
+                System.out.println("| " + n + " | " + t[0] + " | " + row(all) + " | " + row(overlap) + " | "
+                    + all.size()
                     + " | " + (rows.size() - all.size()) + " |");
             }
         }
@@ -117,10 +121,12 @@
 
     /** Lookups that a change left undecided, of all that started at directors that ran, 10 directors, 20 seeds. */
     private static void lost() {
-        System.out.println("| what happens | hold: lookups not decided, % | outcome | stop, % | outcome |\n|---|---|---|---|---|");
+        System.out.println("| what happens | hold: lookups not decided, % | outcome | stop, % | outcome |\n"
+            + "|---|---|---|---|---|");
         String[][] all = {{"a change, no fault", ""}, {"loss of 10%", "15000 loss all by 0.1 for 30000\n"},
             {"one is cut off before it, for 10 s", "19000 cut 9 to all for 10000\n19000 cut all to 9 for 10000\n"},
-            {"one is cut off as it says READY, for 10 s", "20030 cut 9 to all for 10000\n20030 cut all to 9 for 10000\n"},
+            {"one is cut off as it says READY, for 10 s",
+                "20030 cut 9 to all for 10000\n20030 cut all to 9 for 10000\n"},
             {"the coordinator is killed", "20040 kill 5\n"},
             {"two of three voters are away for 10 s", "20500 restart 0-1 for 10000\n"},
             {"the same without a change", "30000 restart 0-1 for 10000\n"}};
@@ -139,9 +145,11 @@
                     outcomes = p.rules.outcomes.toString();
                 }
                 // The first look of each comes before it has its seat: what a start costs is not counted.
-                PolicyPlay calm = play("members 10 for 45000\n" + (mode.equals("stop") ? "5000 leases 0 by 1 for 5000\n" : "")
+                PolicyPlay calm = play("members 10 for 45000\n" + (mode.equals("stop")
+                    ? "5000 leases 0 by 1 for 5000\n" : "")
                     + "40000 abort 0", 0);
-                line.append(String.format(Locale.ROOT, " | %.3f | %s", 100.0 * Math.max(0, refused - 20 * calm.rules.refused)
+                line.append(String.format(Locale.ROOT, " | %.3f | %s", 100.0 * Math.max(0,
+                    refused - 20 * calm.rules.refused)
                     / started, outcomes));
             }
             System.out.println(line.append(" |"));
--- a/src/main/java/mothcross/rig/PolicyPlay.java
+++ b/src/main/java/mothcross/rig/PolicyPlay.java
@@ -385,7 +385,8 @@
         p.texts().kept(digest, text);
         p.holder().has(digest, true);
         rules.proposes(now, key, l.lasts());
-        p.asks(now, key, new Move.Propose(key, digest, text.length, n.name, "", mode, l.lasts(), canary, plan.leases()));
+        p.asks(now, key, new Move.Propose(key, digest, text.length, n.name, "", mode, l.lasts(), canary,
+            plan.leases()));
     }
 
     /** When each director first decided by each plan, for figures. */
--- a/src/main/java/mothcross/rig/PolicyRules.java
+++ b/src/main/java/mothcross/rig/PolicyRules.java
@@ -176,7 +176,8 @@
 
     /** Promises 1 and 2; {@code now} is when the lookup started, at the latest. */
     void decides(double now, String name, long plan) {
-        if (!committed.contains(plan)) breaks(1, name + " decided by plan " + plan + ", which nobody knows as committed");
+        if (!committed.contains(plan)) breaks(1, name + " decided by plan " + plan
+            + ", which nobody knows as committed");
         for (long p : points.headMap(now, true).values()) {
             if (plan < p) {
                 breaks(2, name + " decided by plan " + plan + " at " + Math.round(now) + ", past the point of " + p);
--- a/src/main/java/mothcross/rig/Real.java
+++ b/src/main/java/mothcross/rig/Real.java
@@ -360,7 +360,8 @@
             for (int i = 0; i < Math.min(VOTERS, script.members); i++) {
                 v.append(v.length() > 0 ? "," : "").append("{\"name\":\"n").append(i).append("\"}");
             }
-            more = ",\"policy\":{\"voters\":[" + v + "],\"lease_s\":" + LEASE_MS / 1000 + ",\"dir\":\"" + policyDir(index)
+            more = ",\"policy\":{\"voters\":[" + v + "],\"lease_s\":" + LEASE_MS / 1000 + ",\"dir\":\""
+                + policyDir(index)
                 + "\"}";
         } else if (script.limit > 0) {
             more = ",\"routes\":" + limited(script.limit, script.members);
@@ -414,7 +415,10 @@
         for (Clients c : clients) c.close();
     }
 
-    /** Waits until no change is under way and all that run decide by one plan; the checkers say where that does not come. */
+    /**
+     * Waits until no change is under way and all that run decide by one plan; the checkers say where that does not
+     * come.
+     */
     private void awaitCalm(double most) throws InterruptedException {
         double until = now() + most;
         while (now() < until && !isCalm()) {
@@ -571,7 +575,8 @@
     private String asked(Proc p, FaultScript.Line l) throws IOException, InterruptedException {
         String key = "k" + p.id + "at" + (long) l.at();
         switch (l.what()) {
-            case PROMOTE, ABORT -> ask(p, "policy " + l.what().name().toLowerCase(java.util.Locale.ROOT) + " " + key + " "
+            case PROMOTE, ABORT -> ask(p, "policy " + l.what().name().toLowerCase(java.util.Locale.ROOT) + " " + key
+                + " "
                 + policy.underWay(), new byte[0]);
             case LEASES -> ask(p, "policy propose", proposal(key, ask(p, "policy status", new byte[0]).getAsJsonObject(
                 "plan").get("main").getAsString(), l, l.by() > 0));
@@ -620,7 +625,8 @@
 
     private static JsonObject ask(Proc p, String what, byte[] body) throws IOException {
         JsonObject o = JsonParser.parseString(Question.ask(new InetSocketAddress(HERE, p.port), "rig",
-            List.of(new Wire.Key(1, "of this play and no other".getBytes(java.nio.charset.StandardCharsets.UTF_8))), what,
+            List.of(new Wire.Key(1, "of this play and no other".getBytes(java.nio.charset.StandardCharsets.UTF_8))),
+                what,
             body)).getAsJsonObject();
         if (o.has("failed")) throw new IOException(o.get("failed").getAsString());
         return o;
@@ -633,7 +639,8 @@
     private String text(int n) {
         if (n == 9) return "{\"routes\":{\"rules\":[{\"name\":\"x\",\"match\":\"workload === 1\"}]}}";
         return "{\"routes\":{\"rules\":[{\"name\":\"text" + n + "\",\"match\":\"workload == 'none" + n + "'\"}"
-            + (script.limit > 0 ? "," + limited(script.limit, script.members).replaceAll("^.*?\\[|]}$", "") : "") + "]}}";
+            + (script.limit > 0 ? "," + limited(script.limit, script.members).replaceAll("^.*?\\[|]}$", "") : "")
+                + "]}}";
     }
 
     private static void delete(Path folder) throws IOException {
--- a/src/main/java/mothcross/rig/StandIn.java
+++ b/src/main/java/mothcross/rig/StandIn.java
@@ -37,7 +37,8 @@
 
     /** As discovery's file has it. */
     String listed() {
-        return String.format("{\"id\":\"s-%08x\",\"host_port\":\"127.0.0.1:%d\",\"locality\":\"here\",\"flavor\":\"%s\","
+        return String.format("{\"id\":\"s-%08x\",\"host_port\":\"127.0.0.1:%d\",\"locality\":\"here\","
+            + "\"flavor\":\"%s\","
             + "\"cell\":0,\"phase\":\"in_service\",\"size\":4,\"up_since_ms\":0}", number, server.getLocalPort(),
             kind.name().toLowerCase(java.util.Locale.ROOT));
     }
--- a/src/main/java/mothcross/rig/explore/ChangeModel.java
+++ b/src/main/java/mothcross/rig/explore/ChangeModel.java
@@ -27,7 +27,8 @@
  */
 public final class ChangeModel implements Explorer.Model<ChangeModel.State> {
     /** Faults that the checks have to find; NONE is the program as it is. */
-    public enum Fault { NONE, COMMITS_WITHOUT_ALL, SETTLES_AT_ONCE, READY_UNBOUND, LEASE_FROM_ANSWER, SERVES_WHAT_IT_KEPT,
+    public enum Fault { NONE, COMMITS_WITHOUT_ALL, SETTLES_AT_ONCE, READY_UNBOUND, LEASE_FROM_ANSWER,
+        SERVES_WHAT_IT_KEPT,
         OLD_STAGE_COUNTS, OLD_LIFE_COUNTS, OLDER_PLAN_TAKEN, SILENCE_IS_DEATH, LEASE_AFTER_COMMIT }
 
     /** HOLD: leases off. STOP: leases on, who is late is left out. TRIAL: first a director alone, then all. */
@@ -279,7 +280,9 @@
         return true;
     }
 
-    /** What follows by itself: that a plan is taken up is said, every lease is asked for, and what is over is dropped. */
+    /**
+     * What follows by itself: that a plan is taken up is said, every lease is asked for, and what is over is dropped.
+     */
     private void settled(State n) {
         double now = now(n);
         for (int i = 0; i < N; i++) {
@@ -469,10 +472,12 @@
             long plan = d.holder.plan();
             boolean committed = n.decided.get(0).plan().number() >= plan;
             for (Book b : n.decided) committed |= b.plan().number() == plan;
-            if (!committed) n.broken = "promise 1: " + name(i) + " decides by plan " + plan + ", which is not committed";
+            if (!committed) n.broken = "promise 1: " + name(i) + " decides by plan " + plan
+                + ", which is not committed";
             for (double[] p : n.points) {
                 if (plan < p[0] && now >= p[1]) {
-                    n.broken = "promise 2: " + name(i) + " decides by plan " + plan + " at " + now + ", past the point of "
+                    n.broken = "promise 2: " + name(i) + " decides by plan " + plan + " at " + now
+                        + ", past the point of "
                         + (long) p[0];
                 }
             }
--- a/src/main/java/mothcross/rig/explore/Explore.java
+++ b/src/main/java/mothcross/rig/explore/Explore.java
@@ -17,7 +17,8 @@
     @Option(names = "--fault", defaultValue = "NONE", description = "planted, by its name in RegisterModel.Fault or "
         + "ChangeModel.Fault") private String fault;
 
-    @Option(names = "--attempts", split = ",", defaultValue = "2,1", description = "of each writer") private int[] attempts;
+    @Option(names = "--attempts", split = ",", defaultValue = "2,1",
+        description = "of each writer") private int[] attempts;
 
     @Option(names = "--crashes", defaultValue = "1", description = "of writers, of directors") private int crashes;
 
@@ -25,12 +26,14 @@
 
     @Option(names = "--changes", defaultValue = "2") private int changes;
 
-    @Option(names = "--drivers", defaultValue = "2", description = "directors that drive, of three") private int drivers;
+    @Option(names = "--drivers", defaultValue = "2",
+        description = "directors that drive, of three") private int drivers;
 
     @Option(names = "--begun", description = "the first change is proposed already, and known to all")
     private boolean begun;
 
-    @Option(names = "--every-step", description = "also those for which another order stands, as the design note argues")
+    @Option(names = "--every-step",
+        description = "also those for which another order stands, as the design note argues")
     private boolean every;
 
     @Option(names = "--most", defaultValue = "20000000", description = "states (default: ${DEFAULT-VALUE})")
@@ -49,7 +52,8 @@
         try {
             r = register ? new Explorer<>(new RegisterModel(RegisterModel.Scene.valueOf(at),
                 RegisterModel.Fault.valueOf(fault), attempts, crashes, disks)).all(most)
-                : new Explorer<>(new ChangeModel(ChangeModel.Scene.valueOf(at), ChangeModel.Fault.valueOf(fault), changes,
+                : new Explorer<>(new ChangeModel(ChangeModel.Scene.valueOf(at), ChangeModel.Fault.valueOf(fault),
+                    changes,
                     crashes, drivers, begun, every)).all(most);
         } catch (IllegalArgumentException e) {
             System.err.println("mothcross: " + e.getMessage());
--- a/src/main/java/mothcross/rig/explore/RegisterModel.java
+++ b/src/main/java/mothcross/rig/explore/RegisterModel.java
@@ -30,7 +30,9 @@
     public enum Fault { NONE, ANSWERS_BEFORE_SYNC, FORGETS_PROMISES, FORGETS_UNAWARE, MOST_OF_REACHABLE, SAME_TURN,
         FINISHES_NOTHING, NEW_VOTERS_ALONE, MARKS_IGNORED, LEASE_BY_ONE }
 
-    /** What is played: two steps by two writers; the voters changed meanwhile; from nothing; a lease beside a commit. */
+    /**
+     * What is played: two steps by two writers; the voters changed meanwhile; from nothing; a lease beside a commit.
+     */
     public enum Scene { TWO_STEPS, VOTERS, FOUNDING, LEASE }
 
     /** Of a writer to a voter; answers are heard at once or never. {@code bare}: without the voter's name. */
--- a/src/test/java/mothcross/rig/ExploreTest.java
+++ b/src/test/java/mothcross/rig/ExploreTest.java
@@ -23,7 +23,8 @@
     }
 
     private static Explorer.Result change(String scene, String fault, int changes, int crashes) {
-        return new Explorer<>(new ChangeModel(ChangeModel.Scene.valueOf(scene), ChangeModel.Fault.valueOf(fault), changes,
+        return new Explorer<>(new ChangeModel(ChangeModel.Scene.valueOf(scene), ChangeModel.Fault.valueOf(fault),
+            changes,
             crashes, 1, true, false)).all(MOST);
     }
 
@@ -55,8 +56,8 @@
     }
 
     /**
-     * Steps are left out where another order stands for them: nothing shows that does not with all of them, and whatever
-     * shows with all of them does here with at least as many directors that decide, each by the same plan.
+     * Steps are left out where another order stands for them: nothing shows that does not with all of them, and
+     * whatever shows with all of them does here with at least as many directors that decide, each by the same plan.
      */
     @Test(dataProvider = "small") public void whatIsLeftOutShowsNothingNew(String scene, int crashes) {
         Set<String> some = seen(scene, crashes, false), all = seen(scene, crashes, true);
@@ -99,7 +100,8 @@
 
     @DataProvider public Object[][] ofTheRegister() {
         return new Object[][] {{"TWO_STEPS", "MOST_OF_REACHABLE", 0}, {"TWO_STEPS", "FINISHES_NOTHING", 0},
-            {"TWO_STEPS", "SAME_TURN", 0}, {"TWO_STEPS", "ANSWERS_BEFORE_SYNC", 1}, {"TWO_STEPS", "FORGETS_PROMISES", 1},
+            {"TWO_STEPS", "SAME_TURN", 0}, {"TWO_STEPS", "ANSWERS_BEFORE_SYNC", 1}, {"TWO_STEPS", "FORGETS_PROMISES",
+                1},
             {"TWO_STEPS", "FORGETS_UNAWARE", 1}, {"TWO_STEPS", "MARKS_IGNORED", 1}, {"VOTERS", "NEW_VOTERS_ALONE", 0},
             {"LEASE", "LEASE_BY_ONE", 0}};
     }
--- a/src/test/java/mothcross/rig/PolicyTest.java
+++ b/src/test/java/mothcross/rig/PolicyTest.java
@@ -24,9 +24,11 @@
     @DataProvider public Object[][] cases() {
         return new Object[][] {
             {"nothing", FIVE + "8000 propose 0 by 1 for 9000", "{COMMITTED=1}"},
-            {"one after the other", FIVE + "8000 propose 0 by 1 for 9000\n12000 propose 3 by 2 for 9000", "{COMMITTED=2}"},
+            {"one after the other", FIVE + "8000 propose 0 by 1 for 9000\n12000 propose 3 by 2 for 9000",
+                "{COMMITTED=2}"},
             {"two operators at once", FIVE + "8000 propose 0 by 1 for 9000\n8000 propose 4 by 2 for 9000", null},
-            {"undone", FIVE + "8000 propose 0 by 1 for 9000\n12000 propose 0 by 2 for 9000\n16000 propose 0 by 1 for 9000",
+            {"undone", FIVE + "8000 propose 0 by 1 for 9000\n12000 propose 0 by 2 for 9000\n"
+                + "16000 propose 0 by 1 for 9000",
                 "{COMMITTED=3}"},
             {"one can't compile it", FIVE + "8000 propose 0 by 9 for 9000", "{ABORTED=1}"},
             {"one is away for good", FIVE + "8000 kill 4\n8100 propose 0 by 1 for 9000", "{COMMITTED=1}"},
@@ -37,20 +39,25 @@
             {"one is cut off, and not waited for", FIVE + "4000 leases 0 by 1 for 3000\n7500 cut 4 to all for 25000\n"
                 + "7500 cut all to 4 for 25000\n8000 stop 0 by 1 for 15000", "{COMMITTED=2}"},
             {"the coordinator can't say", FIVE + "8050 cut 3 to 0,1,2,4 for 20000\n8000 propose 3 by 1 for 9000", null},
-            {"the coordinator can't hear", FIVE + "8050 cut 0,1,2,4 to 3 for 20000\n8000 propose 3 by 1 for 9000", null},
+            {"the coordinator can't hear", FIVE + "8050 cut 0,1,2,4 to 3 for 20000\n8000 propose 3 by 1 for 9000",
+                null},
             {"one edge is cut", FIVE + "7000 cut 3 to 4 for 20000\n8000 propose 3 by 1 for 9000", "{COMMITTED=1}"},
-            {"the quorum is lost", FIVE + "8000 restart 0 for 20000\n8000 restart 1 for 20000\n9000 propose 3 by 1 for 30000",
+            {"the quorum is lost", FIVE
+                + "8000 restart 0 for 20000\n8000 restart 1 for 20000\n9000 propose 3 by 1 for 30000",
                 "{COMMITTED=1}"},
             {"a disk refuses", FIVE + "7900 refuse 1 for 8000\n8000 propose 0 by 1 for 9000", "{COMMITTED=1}"},
             {"all disks refuse", FIVE + "7900 refuse all for 4000\n8000 propose 0 by 1 for 12000", "{COMMITTED=1}"},
             {"a voter's disk is new", FIVE + "6000 forget 1 for 500\n9000 propose 0 by 1 for 9000", "{COMMITTED=1}"},
             {"all start together", FIVE + "7000 restart all for 500\n12000 propose 2 by 1 for 9000", "{COMMITTED=1}"},
             {"loss", FIVE + "6000 loss all by 0.3 for 20000\n8000 propose 0 by 1 for 15000", "{COMMITTED=1}"},
-            {"a slow network", FIVE + "6000 delay all by 300 for 20000\n8000 propose 0 by 1 for 15000", "{COMMITTED=1}"},
+            {"a slow network", FIVE + "6000 delay all by 300 for 20000\n8000 propose 0 by 1 for 15000",
+                "{COMMITTED=1}"},
             {"trial, then all", FIVE + "8000 trial 0 by 1 for 9000\n15000 promote 2", "{COMMITTED=1}"},
             {"trial, taken back", FIVE + "8000 trial 0 by 1 for 9000\n15000 abort 2", "{WITHDRAWN=1}"},
-            {"one pauses in a trial", FIVE + "8000 trial 0 by 1 for 9000\n9000 pause 4 for 9000\n12000 promote 2", null},
-            {"a clock goes back, and nothing is kept", FIVE + "0 skew 4 by 90000\n5000 forget 4 for 500\n6000 skew 4 by "
+            {"one pauses in a trial", FIVE + "8000 trial 0 by 1 for 9000\n9000 pause 4 for 9000\n12000 promote 2",
+                null},
+            {"a clock goes back, and nothing is kept", FIVE
+                + "0 skew 4 by 90000\n5000 forget 4 for 500\n6000 skew 4 by "
                 + "-90000\n7000 forget 4 for 500\n9000 propose 0 by 1 for 9000", "{COMMITTED=1}"},
             {"one leaves", FIVE + "8000 leave 4\n8100 propose 0 by 1 for 9000", "{COMMITTED=1}"}};
     }
@@ -86,7 +93,8 @@
 
     /** Promise 4: without a change, no lookup is lost, whatever is; under hold also to whom is cut off from all. */
     @Test public void nothingIsLostWithoutAChange() {
-        for (String what : List.of("kill 0-2", "cut 4 to all for 40000\n8000 cut all to 4 for 40000", "pause 0-2 for 30000")) {
+        for (String what : List.of("kill 0-2", "cut 4 to all for 40000\n8000 cut all to 4 for 40000",
+            "pause 0-2 for 30000")) {
             PolicyPlay p = PolicyPlay.play(FaultScript.of(FIVE + "8000 " + what), 3000, 3, 1, null);
             assertTrue(p.rules.refused <= 5 * 60, what + ": " + p.rules.refused + " lookups were refused");
             assertTrue(p.rules.broken.stream().noneMatch(b -> b.startsWith("promise 4")), p.rules.broken.toString());
@@ -141,7 +149,8 @@
     @DataProvider public Object[][] planted() {
         return new Object[][] {
             {"what is accepted is not on disk", keeps((b, w) -> b)},
-            {"promises are forgotten", keeps((b, w) -> new Voter.State(w.mark(), Turn.NONE, w.acceptedAt(), w.accepted()))},
+            {"promises are forgotten", keeps((b, w) -> new Voter.State(w.mark(), Turn.NONE, w.acceptedAt(),
+                w.accepted()))},
             {"leases never end", new PolicyPlay.Spoils() {
                 @Override public boolean mayStart(Party p, double now) {
                     return p.holder().stopped(Double.NEGATIVE_INFINITY) == Holder.Stopped.NO;
--- a/src/test/java/mothcross/rig/RealFleetTest.java
+++ b/src/test/java/mothcross/rig/RealFleetTest.java
@@ -46,7 +46,9 @@
         }
     }
 
-    /** What ends unasked is named with its last words: it is no member that is merely late (a CI run took it for one). */
+    /**
+     * What ends unasked is named with its last words: it is no member that is merely late (a CI run took it for one).
+     */
     @Test(timeOut = 300_000) public void aProcessThatEndsByItselfIsNamed() throws Exception {
         try (Real r = new Real(FaultScript.of("members 3 for 100\n0 loss all by 0"), 1, null)) {
             r.play();
@@ -60,7 +62,9 @@
         }
     }
 
-    /** A port that is chosen stays free until it is used: below those the system gives out, its block held meanwhile. */
+    /**
+     * A port that is chosen stays free until it is used: below those the system gives out, its block held meanwhile.
+     */
     @Test public void portsAreGivenOnceAndHeld() throws Exception {
         Set<Integer> all = new HashSet<>();
         for (int i = 0; i < 120; i++) {
--- a/src/test/java/mothcross/rig/RealPolicyTest.java
+++ b/src/test/java/mothcross/rig/RealPolicyTest.java
@@ -19,12 +19,14 @@
     @DataProvider(parallel = true) public Object[][] scripts() {
         return new Object[][] {
             // A third away during the change, one cut off, one paused over it; then it is tried again in calm.
-            {"members 5 for 16000\n100 lookups all by 40 for 16000\n1000 restart 4 for 4000\n1500 propose 3 by 1 for 3000\n"
+            {"members 5 for 16000\n100 lookups all by 40 for 16000\n1000 restart 4 for 4000\n"
+                + "1500 propose 3 by 1 for 3000\n"
                 + "6000 pause 2 for 3000\n6200 propose 0 by 2 for 9000"},
             // The coordinator is killed; two ask at once; clocks are off; all are killed at once halfway.
             {"members 5 for 19000\n0 skew 1 by 5000\n0 skew 2 by -5000\n100 lookups all by 40 for 19000\n"
                 + "600 restart 1-2 for 500\n4000 propose 3 by 1 for 6000\n4450 restart 3 for 1000\n"
-                + "9000 propose 0 by 2 for 6000\n9000 propose 4 by 3 for 6000\n9500 restart all for 500\n14000 propose 2 by 4 for 6000"},
+                + "9000 propose 0 by 2 for 6000\n9000 propose 4 by 3 for 6000\n9500 restart all for 500\n"
+                + "14000 propose 2 by 4 for 6000"},
             // One-sided cuts between who drives and the others; a disk that refuses; a text that no build compiles.
             {"members 4 for 15000\n100 lookups all by 40 for 15000\n900 cut 3 to 0-1 for 3000\n"
                 + "1000 propose 3 by 1 for 5000\n5500 refuse 1 for 3000\n5600 propose 0 by 2 for 5000\n"
@@ -41,14 +43,16 @@
             String all = script + "\n" + r.policy.broken + "\n" + r.said + "\n" + r.policy.outcomes;
             assertTrue(r.policy.broken.isEmpty(), all);
             assertNull(r.limits.broken(), all);
-            // How far a change gets before the next fault is the machine's; that lookups were decided all the while is not.
+            // How far a change gets before the next fault is the machine's; that lookups were decided all the while
+            // is not.
             assertTrue(r.answers.stream().anyMatch(a -> a[3] >= 0), "no lookup was decided: " + all);
         }
     }
 
     /** A route's limit over directors that are killed, paused and come back: never over it by more than the slack. */
     @Test(timeOut = 300_000) public void aLimitHoldsOverDirectorsThatComeAndGo() throws Exception {
-        String script = "members 4 for 14000 limit 100\n0 lookups all by 60 for 14000\n3000 kill 3\n5000 restart 2 for 1500\n"
+        String script = "members 4 for 14000 limit 100\n0 lookups all by 60 for 14000\n3000 kill 3\n"
+            + "5000 restart 2 for 1500\n"
             + "9000 pause 1 for 3000";
         try (Real r = new Real(FaultScript.of(script), 1, null)) {
             r.play();
