A voter in doubt finishes what it has accepted, and later voters are found again

The old voters held the accepted book, knew it not to be decided, and asked only each other; a director that is no voter asked only them. Now a voter that has accepted what nobody tells it to be decided finishes it itself, after a while and by rank; what is finished for another is told to all where more than the roll has changed; who knows of later voters and is none itself points to them; and who can't go on asks anybody of the fleet's view now and then.

The rig has three more lines: die (after so many words about the policy), voters, await (until all that was asked is over). A play no longer waits for the end of what only bounds a question.

--- a/src/main/java/mothcross/cli/PolicyCommand.java
+++ b/src/main/java/mothcross/cli/PolicyCommand.java
@@ -60,7 +60,7 @@
         FleetNode fleet = FleetCommand.node(d, start, relay, skewMs, life::share);
         InetSocketAddress at = FleetCommand.socket(d.listen());
         PolicyNode policy = new PolicyNode(d.fleet(), start.name, fleet.firstLife(), at.getHostString(), at.getPort(),
-            c.voters(), c.voters(), c.leaseMs(), c.dir(), new Tables(life), fleet::send);
+            c.voters(), fleet::members, c.leaseMs(), c.dir(), new Tables(life), fleet::send);
         fleet.beside(policy);
         life.follows(policy, tellsPlan);
         Main.Beside b = new Main.Beside() {
--- a/src/main/java/mothcross/cli/RigCommand.java
+++ b/src/main/java/mothcross/cli/RigCommand.java
@@ -116,13 +116,16 @@
         + "promise are printed by their seed.", mixinStandardHelpOptions = true)
     int drawn(@Option(names = "--histories", defaultValue = "1000") int histories,
               @Option(names = "--from", paramLabel = "SEED", defaultValue = "1") long from,
-              @Option(names = "--policy", description = "changes of the policy, not membership") boolean ofPolicy) {
+              @Option(names = "--policy", description = "changes of the policy, not membership") boolean ofPolicy,
+              @Option(names = "--voters", description = "with --policy: voters change, and who was asked dies")
+              boolean voters) {
         AtomicInteger bad = new AtomicInteger();
         if (ofPolicy) {
             AtomicLong starts = new AtomicLong(), overlaps = new AtomicLong();
             Map<Book.Outcome, LongAdder> ends = new ConcurrentSkipListMap<>();
             LongStream.range(from, from + histories).parallel().forEach(seed -> {
-                FaultScript s = FaultScript.drawnPolicy(new SplittableRandom(seed));
+                SplittableRandom r0 = new SplittableRandom(seed);
+                FaultScript s = voters ? FaultScript.drawnVoters(r0) : FaultScript.drawnPolicy(r0);
                 PolicyRules r = policy(s, seed).rules;
                 starts.addAndGet(r.lookups);
                 overlaps.addAndGet(r.overlaps);
--- a/src/main/java/mothcross/fleet/net/FleetNode.java
+++ b/src/main/java/mothcross/fleet/net/FleetNode.java
@@ -58,6 +58,7 @@
 
     private final String fleet, name;
     private volatile Beside beside;
+    private volatile List<String> inView = List.of();
     private final Wire wire;
     private final KeptFleet kept;
     private final Member member;
@@ -239,6 +240,11 @@
         return buffer.put(b).flip();
     }
 
+    /** Who takes part, as it is believed here now; from any thread. */
+    public List<String> members() {
+        return inView;
+    }
+
     /** What is not a member's to say; it may get lost, like any other. */
     public void send(String to, byte[] body) {
         lock.lock();
@@ -394,6 +400,7 @@
     @Override public void view(View v, boolean apart, Member.Cause cause) {
         List<String> names = new ArrayList<>();
         for (Fact f : v.members()) names.add(f.name() + "@" + f.incarnation());
+        inView = v.members().stream().map(Fact::name).toList();
         LOG.atInfo().addKeyValue("view", v.number).addKeyValue("digest", Long.toHexString(v.digest))
             .addKeyValue("cause", cause).addKeyValue("apart", apart).addKeyValue("life", member == null ? 0
                 : member.life()).addKeyValue("size", v.size()).addKeyValue("members", names.size() > 64
--- a/src/main/java/mothcross/policy/Party.java
+++ b/src/main/java/mothcross/policy/Party.java
@@ -6,10 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import mothcross.policy.Change.Stage;
 
 /**
@@ -42,7 +44,7 @@
 
     /** What a Party counts; each number only grows. */
     public enum Count { WRITES_BEGUN, WRITES_DONE, WRITES_LOST, SYNCS, DECIDED_HEARD, LEASES, LEASE_REFUSALS, POLLS,
-        TAKEOVERS }
+        TAKEOVERS, DOUBTS_ENDED }
 
     private static final double AGAIN = 200, LEARN = 300, ENROL = 500, POLL = 250, IDLE_LEARN = 3000, TAKEOVER = 1500,
         RANK = 700, LOST_MIN = 50, LOST_RANDOM = 250, SAYS_AGAIN = 1000, FETCH_AGAIN = 400;
@@ -52,7 +54,7 @@
     private final String host;
     private final int port;
     private final Set<String> founders;
-    private final Collection<String> contacts;
+    private final Supplier<Collection<String>> contacts;
     private final SplittableRandom chance;
     private final Voter voter;
     private final Holder holder;
@@ -71,6 +73,8 @@
     private double saidAt = Double.NEGATIVE_INFINITY, leaveAt = Double.NEGATIVE_INFINITY;
     private double otherDrove = Double.NEGATIVE_INFINITY;
     private boolean drives;
+    private double doubtsSince = Double.NaN;                // something later may be decided than is known here
+    private Said.AskThem pointed;
     private String fetchedFirst = "";
     private Said.Standing saidLast;
     private long taken = -1;
@@ -85,10 +89,10 @@
     /**
      * {@code kept} is what was on disk: of the voter, null where this is none or its disk is new; the last book, null
      * where there is none; texts by digest. {@code mark} is drawn anew for a new disk. {@code founders} are named by
-     * the operators' file, and are contacts as well.
+     * the operators' file; {@code contacts} are all that are known to be there, whether they vote or not.
      */
-    public Party(String name, long life, String host, int port, Set<String> founders, Collection<String> contacts,
-                 double leaseMs, Voter.State kept, String mark, Book book, Map<String, byte[]> held,
+    public Party(String name, long life, String host, int port, Set<String> founders,
+                 Supplier<Collection<String>> contacts, double leaseMs, Voter.State kept, String mark, Book book, Map<String, byte[]> held,
                  SplittableRandom chance) {
         this.name = name;
         this.host = host;
@@ -178,7 +182,8 @@
             boolean urgent = !holder.isSeated() || holder.stopped(now) != Holder.Stopped.NO;
             boolean needsWhole = drives && !isWholeNow();
             learnAt = now + (urgent || needsWhole ? LEARN : IDLE_LEARN * (0.8 + 0.4 * chance.nextDouble()));
-            String v = someVoter();
+            // The voters that it knows may all be gone: now and then anybody is asked who is one now.
+            String v = urgent && chance.nextInt(4) == 0 ? anybody() : someVoter();
             if (v != null) say(v, new Said.Learn(b.revision(), needsWhole || isVoter()));
         }
         if (!holder.isSeated() && !leaving && now >= enrolAt) {
@@ -213,11 +218,17 @@
         else say(v, what);
     }
 
+    private String anybody() {
+        List<String> all = new ArrayList<>(contacts.get());
+        all.remove(name);
+        return all.isEmpty() ? someVoter() : all.get(chance.nextInt(all.size()));
+    }
+
+    /** Those that it knows as voters, and those that others know as later ones. */
     private String someVoter() {
-        List<String> all = new ArrayList<>(known().voters().names());
-        if (known().revision() == 0) {
-            for (String c : contacts) if (!all.contains(c)) all.add(c);
-        }
+        Set<String> names = new TreeSet<>(known().voters().names());
+        if (pointed != null && pointed.voters() > known().voters().number()) names.addAll(pointed.names());
+        List<String> all = new ArrayList<>(names);
         all.remove(name);
         return all.isEmpty() ? null : all.get(chance.nextInt(all.size()));
     }
@@ -435,12 +446,23 @@
         }
         if (now < writerAgainAt) return;
         Move m = nextMove(now);
-        if (m == null) return;
-        count(Count.WRITES_BEGUN);
+        if (m == null && !doubts(now)) return;
+        count(m == null ? Count.DOUBTS_ENDED : Count.WRITES_BEGUN);
         writer.begin(whole != null && isWholeNow() ? whole : known(), m);
         saysOfWriter(now);
     }
 
+    /**
+     * A voter that has accepted what nobody has told it to be decided: who put it there may be dead, and the others may
+     * wait for its word. After a while, by rank, it finishes that itself.
+     */
+    private boolean doubts(double now) {
+        Book b = voter.state().accepted();
+        if (b == null || b.revision() <= known().revision()) doubtsSince = Double.NaN;
+        else if (Double.isNaN(doubtsSince)) doubtsSince = now;
+        return now - doubtsSince >= TAKEOVER + RANK * rank();
+    }
+
     private void saysOfWriter(double now) {
         writerSaid = now;
         Map<String, Said> all = writer.says();
@@ -501,7 +523,11 @@
     /** What concerns all is told to all; who comes and goes only to those and to the voters. */
     private void announce(Book b, Move m) {
         Set<String> to = new TreeSet<>();
-        boolean ofFew = m instanceof Move.Enrol || m instanceof Move.Strike || m == null;
+        // What another began is told to all, since that one may not have come to it, unless only the roll has changed.
+        Book k = known();
+        boolean ofRoll = b.voters().equals(k.voters()) && b.plan().equals(k.plan())
+            && Objects.equals(b.change(), k.change());
+        boolean ofFew = m instanceof Move.Enrol || m instanceof Move.Strike || m == null && ofRoll;
         if (!ofFew) to.addAll(b.roll().keySet());
         if (m instanceof Move.Enrol e) to.addAll(e.who().keySet());
         if (m instanceof Move.Strike s) to.add(s.name());
@@ -564,6 +590,11 @@
             heard(d.book(), now);
         } else if (s instanceof Said.Learn l) {
             teach(from, l);
+        } else if (s instanceof Said.AskThem a) {
+            if (a.voters() > known().voters().number() && (pointed == null || a.voters() > pointed.voters())) {
+                pointed = a;
+                learnAt = Math.min(learnAt, now);
+            }
         } else if (s instanceof Said.Enrol e) {
             enrols.put(from, new Book.Seat(e.life(), e.host(), e.port(), false));
             if (isWholeNow() && whole.seats(from, e.life())) {
@@ -629,6 +660,8 @@
         if (b != null && (b.revision() > l.revision() || l.whole() && b.revision() == l.revision())
             && b.revision() > 0) {
             say(from, new Said.Decided(l.whole() ? b : b.brief(from)));
+        } else if (b == null && known().revision() > l.revision()) {
+            say(from, new Said.AskThem(known().voters().number(), known().voters().names()));
         }
     }
 
--- a/src/main/java/mothcross/policy/Said.java
+++ b/src/main/java/mothcross/policy/Said.java
@@ -50,6 +50,9 @@
     /** Asks for what is decided after this revision; the whole book, or the part that concerns the asker. */
     record Learn(long revision, boolean whole) implements Said { }
 
+    /** From one that knows of later voters and can't tell what they decided: whom to ask. No word on who votes. */
+    record AskThem(long voters, Set<String> names) implements Said { }
+
     // ---- who may serve ----
 
     record Enrol(long life, String host, int port) implements Said { }
--- a/src/main/java/mothcross/policy/net/PolicyNode.java
+++ b/src/main/java/mothcross/policy/net/PolicyNode.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import mothcross.fleet.net.FleetNode;
 import mothcross.net.Current;
 import mothcross.policy.Book;
@@ -70,7 +71,7 @@
 
     /** {@code address}: where the others reach this one, HOST and port; {@code life} of this process. */
     public PolicyNode(String fleet, String name, long life, String host, int port, Set<String> voters,
-                      Collection<String> contacts, double leaseMs, Path dir, InService service,
+                      Supplier<Collection<String>> contacts, double leaseMs, Path dir, InService service,
                       BiConsumer<String, byte[]> sends) throws IOException {
         this.fleet = fleet;
         this.service = service;
--- a/src/main/java/mothcross/rig/FaultScript.java
+++ b/src/main/java/mothcross/rig/FaultScript.java
@@ -24,12 +24,15 @@
      * the next start on; REFUSE has the disk refuse to write. LOOKUPS asks so many lookups a second of each. Of the
      * policy:
      * PROPOSE has a director propose text number {@code by}, to be through in {@code lasts} ms, STOP the same in that
-     * mode, TRIAL first for a part; PROMOTE and ABORT whatever is under way, LEASES turns them on (by 1) or off.
+     * mode, TRIAL first for a part; PROMOTE and ABORT whatever is under way, LEASES turns them on (by 1) or off, VOTERS has WHOM make TO the voters.
+     * DIE ends a process when it has said {@code by} more things about the policy, and starts it again {@code lasts} ms
+     * later; AWAIT waits, among real processes, until all that was asked is over: what comes after it comes so much
+     * later.
      */
     public enum What { PAUSE, KILL, VANISH, RESTART, FORGET, MOVE, TWIN, LEAVE, LOSS, SLOW, DELAY, CUT, FLAP, OLD, SKEW,
-        REFUSE, LOOKUPS, PROPOSE, STOP, TRIAL, PROMOTE, ABORT, LEASES }
+        DIE, AWAIT, REFUSE, LOOKUPS, PROPOSE, STOP, TRIAL, PROMOTE, ABORT, LEASES, VOTERS }
 
-    private static final java.util.Set<What> OF_POLICY = java.util.EnumSet.range(What.REFUSE, What.LEASES);
+    private static final java.util.Set<What> OF_POLICY = java.util.EnumSet.range(What.REFUSE, What.VOTERS);
 
     /** Whether directors are to agree on their policy in it. */
     public boolean hasPolicy() {
@@ -193,6 +196,21 @@
         return of(s.toString());
     }
 
+    /** A drawn one whose voters change meanwhile, and where who was asked dies after so many words about it. */
+    public static FaultScript drawnVoters(SplittableRandom r) {
+        // A lost disk beside other voters may be a quorum gone for good.
+        String s = drawnPolicy(r).toString().replaceAll("(?m)^\\d+ forget", "# none:");
+        int n = Integer.parseInt(s.split(" ")[1]);
+        StringBuilder more = new StringBuilder(s);
+        for (int i = 0; i < 2; i++) {
+            int first = r.nextInt(n - 2), by = r.nextInt(n), at = 7000 + r.nextInt(25_000);
+            more.append(at).append(" die ").append(by).append(" by ").append(r.nextInt(40)).append(" for ")
+                .append(300 + r.nextInt(5000)).append('\n').append(at).append(" voters ").append(by).append(" to ")
+                .append(first).append('-').append(Math.min(n - 1, first + 2 + 2 * r.nextInt(2))).append('\n');
+        }
+        return of(more.toString());
+    }
+
     /** The shortest script that still fails: lines are left out one by one for as long as it does. */
     public FaultScript shrunk(java.util.function.Predicate<FaultScript> fails, Consumer<String> progress) {
         FaultScript least = this;
--- a/src/main/java/mothcross/rig/Figures.java
+++ b/src/main/java/mothcross/rig/Figures.java
@@ -6,11 +6,15 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import mothcross.fleet.Pace;
 
 /**
  * The figures of docs/measured/fleet.md: {@code java -cp ... mothcross.rig.Figures WHAT}, WHAT one of {@code deaths},
- * {@code false}, {@code size}, {@code heal}, {@code parts}. Virtual time; for comparison plain probing (one watcher's
+ * {@code false}, {@code size}, {@code heal}, {@code parts}; then, for other sizes than usual, these. Virtual time; for comparison plain probing (one watcher's
  * word is enough, at once) and heartbeats from all to all.
  */
 public final class Figures {
@@ -18,9 +22,12 @@
     private static final String[][] TROUBLES = {{"none", ""}, {"loss 10%", "0 loss all by 0.1 for %d\n"},
         {"loss 30%", "0 loss all by 0.3 for %d\n"}, {"a tenth pauses 10 s", "pauses"}, {"one-sided cuts", "cuts"}};
 
+    private static int[] sizes;
+
     private Figures() { }
 
     public static void main(String[] args) {
+        if (args.length > 1) sizes = Arrays.stream(args[1].split(",")).mapToInt(Integer::parseInt).toArray();
         switch (args.length > 0 ? args[0] : "") {
             case "deaths" -> deaths();
             case "false" -> falseRemovals();
@@ -70,49 +77,50 @@
     private static void deaths() {
         System.out.println("| members | trouble | process ends: silent to all | out of the view | machine vanishes: "
             + "silent to all | out of the view |\n|---|---|---|---|---|---|");
-        for (int n : new int[] {3, 10, 100, 1000, 2000}) {
+        for (int n : sizes == null ? new int[] {3, 10, 100, 1000, 2000} : sizes) {
             for (String[] t : TROUBLES) {
                 if (n >= 1000 && (t[1].equals("cuts") || t[0].equals("loss 10%"))) continue;
-                StringBuilder line = new StringBuilder("| " + n + " | " + t[0]);
-                for (String how : new String[] {"kill", "vanish"}) {
-                    List<Double> silent = new ArrayList<>(), gone = new ArrayList<>();
-                    long lasts = how.equals("kill") ? 45_000 : 130_000;
-                    if (n >= 1000 && how.equals("vanish")) lasts = 100_000;
-                    for (int seed = 1; seed <= seeds(n); seed++) {
-                        SplittableRandom r = new SplittableRandom(seed);
-                        String s = "members " + n + " for " + lasts + "\n" + trouble(t[1], n, lasts, r) + "20000 " + how
-                            + " " + n / 2 + "\n";
-                        Virtual v = Virtual.formed(FaultScript.of(s), Pace.USUAL, seed);
-                        String who = "n" + n / 2;
-                        for (double x : v.knownSilent.get(who).values()) silent.add(x - v.died.get(who));
-                        for (double x : v.knownOut.get(who).values()) gone.add(x - v.died.get(who));
-                    }
-                    line.append(" | ").append(row(silent)).append(" | ").append(row(gone));
-                }
-                System.out.println(line.append(" |"));
+                System.out.println("| " + n + " | " + t[0] + Stream.of("kill", "vanish").parallel()
+                    .map(how -> died(n, t[1], how)).collect(Collectors.joining()) + " |");
             }
         }
     }
 
+    private static String died(int n, String trouble, String how) {
+        long lasts = how.equals("kill") ? 45_000 : n >= 1000 ? 100_000 : 130_000;
+        List<Double> silent = new ArrayList<>(), gone = new ArrayList<>();
+        IntStream.rangeClosed(1, seeds(n)).parallel().forEach(seed -> {
+            String s = "members " + n + " for " + lasts + "\n" + trouble(trouble, n, lasts, new SplittableRandom(seed))
+                + "20000 " + how + " " + n / 2 + "\n";
+            Virtual v = Virtual.formed(FaultScript.of(s), Pace.USUAL, seed);
+            String who = "n" + n / 2;
+            synchronized (silent) {
+                for (double x : v.knownSilent.get(who).values()) silent.add(x - v.died.get(who));
+                for (double x : v.knownOut.get(who).values()) gone.add(x - v.died.get(who));
+            }
+        });
+        return " | " + row(silent) + " | " + row(gone);
+    }
+
     /** Members put out that ran all the time, an hour: ours, plain probing, heartbeats from all to all. */
     private static void falseRemovals() {
         System.out.println("| members | trouble | hours played | ours | plain probing | all-to-all heartbeats |\n"
             + "|---|---|---|---|---|---|");
-        for (int n : new int[] {3, 10, 100}) {
+        for (int n : sizes == null ? new int[] {3, 10, 100} : sizes) {
             for (String[] t : TROUBLES) {
                 if (t[0].equals("none")) continue;
                 long lasts = n >= 1000 ? 60_000 : 300_000;
                 double hours = seeds(n) * lasts / 3.6e6;
-                long ours = 0, plain = 0, beats = 0;
-                for (int seed = 1; seed <= seeds(n); seed++) {
+                LongAdder ours = new LongAdder(), plain = new LongAdder(), beats = new LongAdder();
+                IntStream.rangeClosed(1, seeds(n)).parallel().forEach(seed -> {
                     FaultScript s = FaultScript.of("members " + n + " for " + lasts + "\n"
                         + trouble(t[1], n, lasts, new SplittableRandom(seed)));
-                    ours += wrongly(Virtual.formed(s, Pace.USUAL, seed), s);
-                    plain += wrongly(Virtual.formed(s, PLAIN, seed), s);
-                    beats += heartbeats(n, t[1], lasts, seed);
-                }
+                    ours.add(wrongly(Virtual.formed(s, Pace.USUAL, seed), s));
+                    plain.add(wrongly(Virtual.formed(s, PLAIN, seed), s));
+                    beats.add(heartbeats(n, t[1], lasts, seed));
+                });
                 System.out.printf(Locale.ROOT, "| %d | %s | %.2f | %.1f | %.1f | %.1f |%n", n, t[0], hours,
-                    ours / hours, plain / hours, beats / hours);
+                    ours.sum() / hours, plain.sum() / hours, beats.sum() / hours);
             }
         }
     }
@@ -171,7 +179,7 @@
     private static void size() {
         System.out.println("| members | messages a second | bytes a second | core a member (ms a second) | the same "
             + "while a tenth is killed: messages | bytes |\n|---|---|---|---|---|---|");
-        for (int n : new int[] {3, 10, 100, 1000, 2000}) {
+        for (int n : sizes == null ? new int[] {3, 10, 100, 1000, 2000} : sizes) {
             long warm = 60_000, lasts = n >= 1000 ? 20_000 : 60_000;
             double[] calm = cost(n, warm, lasts, ""), deaths = cost(n, warm, lasts, (warm + 1000) + " kill 0-"
                 + (Math.max(1, n / 10) - 1) + "\n");
--- a/src/main/java/mothcross/rig/PolicyPlay.java
+++ b/src/main/java/mothcross/rig/PolicyPlay.java
@@ -67,6 +67,7 @@
         long life = 1000, deciding = -1;
         int process;
         double pausedUntil, busyUntil;
+        int says = LIVES;                                   // so many more messages before it dies
         boolean writing;
         final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
 
@@ -82,7 +83,7 @@
             deciding = -1;
             waiting.clear();
             if (disk.voter == null) disk.voter = Voter.State.blank("m" + marks++);
-            party = new Party(name, life, "h", 1000 + index, voters, voters, lease, disk.voter, disk.voter.mark(),
+            party = new Party(name, life, "h", 1000 + index, voters, () -> names, lease, disk.voter, disk.voter.mark(),
                 disk.book, disk.texts, chance.split());
             rules.starts(now, name);
             ticks(process);
@@ -192,6 +193,7 @@
         }
     }
 
+    private static final int LIVES = -1, DYING = -2;
     private static final double SYNC_LEAST = 1, SYNC_MORE = 5, CHECK_LEAST = 5, CHECK_MORE = 15, LOOKS_EVERY = 40;
 
     public final PolicyRules rules = new PolicyRules(true);
@@ -203,6 +205,7 @@
     private final double lease;
     private final Set<String> voters = new TreeSet<>();
     private final List<Node> nodes = new ArrayList<>();
+    private final List<String> names = new ArrayList<>();
     private final PriorityQueue<Due> queue = new PriorityQueue<>();
     private final List<double[]> losses = new ArrayList<>();
     private final List<int[]> cuts = new ArrayList<>();
@@ -224,6 +227,7 @@
         for (int i = 0; i < script.members; i++) {
             Node n = p.new Node(i);
             p.nodes.add(n);
+            p.names.add(n.name);
             p.in(p.chance.nextInt(200), n::starts);
         }
         for (FaultScript.Line l : script.lines) p.in(l.at(), () -> p.befalls(l));
@@ -261,6 +265,12 @@
     // ---- the links ----
 
     private void carry(Node from, Party.Send s) {
+        if (from.says == DYING) return;
+        if (from.says >= 0 && --from.says < 0) {
+            from.says = DYING;                              // nothing that it does still, of this message, is heard of
+            in(0, () -> ends(from));
+            return;
+        }
         sent++;
         if (weighs) bytes += s.what().toString().length();
         Node to = nodes.get(Integer.parseInt(s.to().substring(1)));
@@ -327,6 +337,14 @@
                     in(l.lasts(), () -> n.disk.refuses = false);
                 }
                 case SKEW -> skews.put(i, l.by());
+                case DIE -> {
+                    n.says = (int) l.by();
+                    in(l.lasts(), () -> {
+                        n.says = LIVES;
+                        if (n.party == null) n.starts();
+                    });
+                }
+                case VOTERS -> n.does(() -> votes(n, l));
                 case PROPOSE, STOP, TRIAL, LEASES, PROMOTE, ABORT -> n.does(() -> asks(n, l));
                 default -> { }
             }
@@ -359,6 +377,12 @@
         n.ends();
     }
 
+    private void votes(Node n, FaultScript.Line l) {
+        Map<String, String> marks = new TreeMap<>();
+        for (int i : l.to()) marks.put("n" + i, nodes.get(i).disk.voter.mark());
+        n.party.asks(now, "v" + ++proposals, new Move.Vote(n.party.known().voters().number(), marks));
+    }
+
     private void asks(Node n, FaultScript.Line l) {
         Party p = n.party;
         Plan plan = p.known().plan();
--- a/src/main/java/mothcross/rig/Real.java
+++ b/src/main/java/mothcross/rig/Real.java
@@ -29,9 +29,11 @@
 import java.util.concurrent.DelayQueue;
 import java.util.concurrent.Delayed;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import mothcross.fleet.Message;
 import mothcross.fleet.net.Question;
 import mothcross.fleet.net.Wire;
 
@@ -65,6 +67,7 @@
         volatile String lastWords = "";
         double startedAt;
         volatile int clients;                               // the port for lookups, once it serves
+        private final AtomicInteger says = new AtomicInteger(-1);   // so many more words about the policy before it dies
 
         Proc(int index, int port) throws IOException {
             this.index = index;
@@ -180,6 +183,9 @@
                     if (p.getLength() < 7) continue;
                     int to = (b[4] & 0xff) << 8 | b[5] & 0xff;
                     byte[] message = Arrays.copyOfRange(b, 6, p.getLength());
+                    boolean counts = says.get() >= 0 && message[15 + message[6]] == Message.Kind.POLICY.ordinal();
+                    if (counts && says.decrementAndGet() < 0) end(this, false);
+                    if (dead) continue;
                     Proc there = at.get(to);
                     if (there == null || there.dead) {
                         // As the system of a machine that runs would say that nobody holds the port.
@@ -190,7 +196,7 @@
                     }
                     double after = carries(this, there, false);
                     if (after >= 0) due.add(new Due(System.nanoTime() + (long) (after * 1e6), message, there));
-                } catch (IOException e) {
+                } catch (IOException | InterruptedException e) {
                     return;
                 }
             }
@@ -260,6 +266,8 @@
     private final List<Clients> clients = new CopyOnWriteArrayList<>();
     private final List<String> fell = new CopyOnWriteArrayList<>();
     private volatile boolean closed;
+    private final AtomicInteger asking = new AtomicInteger();
+    private double zero;
 
     public Real(FaultScript script, long seed, Path logs) throws IOException {
         this.script = script;
@@ -392,11 +400,13 @@
         for (int i = 0; i < script.members; i++) byIndex.put(i, new Proc(i, ports.get(i)));
         awaitOneView(STARTS_MS);
         awaitServing(STARTS_MS);
-        double zero = now();
+        zero = now();
         List<Object[]> steps = new ArrayList<>();
         for (FaultScript.Line l : script.lines) {
             steps.add(new Object[] {l.at(), (Step) () -> befalls(l, true)});
-            if (l.lasts() > 0) steps.add(new Object[] {l.at() + l.lasts(), (Step) () -> befalls(l, false)});
+            // Of lookups and of what is asked the time is a bound: the play does not wait for it.
+            boolean ends = l.lasts() > 0 && l.what().compareTo(FaultScript.What.LOOKUPS) < 0;
+            if (ends) steps.add(new Object[] {l.at() + l.lasts(), (Step) () -> befalls(l, false)});
             if (l.what() == FaultScript.What.FLAP) {
                 for (double t = l.by(); t < l.lasts(); t += l.by()) {
                     boolean on = Math.round(t / l.by()) % 2 == 0;
@@ -441,6 +451,34 @@
         }
     }
 
+    /**
+     * Until all that was asked is answered, no change is under way, and all that run are up and decide by one plan; what
+     * the script has later comes so much later.
+     */
+    private void awaitAll(double at) throws IOException, InterruptedException {
+        double until = now() + SETTLES_MS;
+        awaitServing(SETTLES_MS);
+        while (now() < until && !(asking.get() == 0 && nothingUnderWay() && isCalm())) {
+            synchronized (history) {
+                history.wait(50);                           // between two questions; its bell is rung by what is said
+            }
+        }
+        zero = Math.max(zero, now() - at);
+    }
+
+    /** As they say themselves: what they decide is in their logs a little later. */
+    private boolean nothingUnderWay() {
+        for (Proc p : procs) {
+            if (p.dead || steppedBack.contains(p)) continue;
+            try {
+                if (ask(p, "policy status", new byte[0]).has("change")) return false;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Waits until each that runs has a port for lookups. */
     private void awaitServing(double most) throws InterruptedException {
         double until = now() + most;
@@ -508,6 +546,13 @@
                     }
                 }
                 case SKEW -> skews.put(i, (long) l.by());
+                case DIE -> {
+                    if (begins) p.says.set((int) l.by());
+                    else if (p.says.getAndSet(-1) < 0 && p.dead) {
+                        p.process.waitFor();
+                        byIndex.put(i, new Proc(i, p.port));
+                    }
+                }
                 case REFUSE -> {
                     // Its folder is away, as a disk that is: nothing can be written there.
                     Path away = dir.resolve("away-n" + i);
@@ -517,7 +562,7 @@
                 case LOOKUPS -> {
                     if (begins) clients.add(new Clients(this, i, l.by(), l.lasts()));
                 }
-                case PROPOSE, STOP, TRIAL, PROMOTE, ABORT, LEASES -> {
+                case PROPOSE, STOP, TRIAL, PROMOTE, ABORT, LEASES, VOTERS -> {
                     if (begins) asks(i, l);
                 }
                 case TWIN -> {
@@ -534,6 +579,7 @@
             }
         }
         switch (l.what()) {
+            case AWAIT -> awaitAll(l.at());
             case LOSS -> {
                 for (int i : whom) {
                     if (begins) losses.add(new double[] {i, l.by()});
@@ -558,6 +604,7 @@
     private void asks(int i, FaultScript.Line l) {
         Proc p = byIndex.get(i);
         if (p.dead) return;
+        asking.incrementAndGet();
         thread(() -> {
             String how;
             try {
@@ -568,6 +615,8 @@
             synchronized (history) {
                 history.fault(now(), l.text() + ": " + how);
                 said.add(l.text() + ": " + how);
+                asking.decrementAndGet();
+                history.notifyAll();
             }
         });
     }
@@ -578,6 +627,13 @@
             case PROMOTE, ABORT -> ask(p, "policy " + l.what().name().toLowerCase(java.util.Locale.ROOT) + " " + key
                 + " "
                 + policy.underWay(), new byte[0]);
+            case VOTERS -> {
+                List<String> named = new ArrayList<>();
+                for (int i : l.to()) {
+                    named.add("n" + i + "=" + ask(byIndex.get(i), "policy status", new byte[0]).get("mark").getAsString());
+                }
+                ask(p, "policy voters " + key + " " + String.join(",", named), new byte[0]);
+            }
             case LEASES -> ask(p, "policy propose", proposal(key, ask(p, "policy status", new byte[0]).getAsJsonObject(
                 "plan").get("main").getAsString(), l, l.by() > 0));
             default -> {
--- a/src/test/java/mothcross/rig/RealPolicyTest.java
+++ b/src/test/java/mothcross/rig/RealPolicyTest.java
@@ -37,6 +37,36 @@
                 + "6000 stop 0 by 2 for 12000\n15500 trial 0 by 3 for 4000\n18000 promote 1"}};
     }
 
+    /** The first voters are gone for good, and the ones that they made decide. */
+    @Test(timeOut = 300_000) public void otherVotersDecide() throws Exception {
+        String script = "members 5 for 1500\n100 lookups all by 40 for 60000\n300 propose 0 by 1 for 60000\n400 await\n"
+            + "500 voters 0 to 2-4\n600 await\n700 kill 0-1\n800 propose 3 by 2 for 60000\n900 await";
+        try (Real r = new Real(FaultScript.of(script), 1, null)) {
+            r.play();
+            String all = script + "\n" + r.policy.broken + "\n" + r.said + "\n" + r.policy.outcomes;
+            assertTrue(r.policy.broken.isEmpty(), all);
+            assertEquals(r.policy.outcomes.toString(), "{COMMITTED=2}", all);
+            assertEquals(r.policy.plan(), 2, all);
+        }
+    }
+
+    /** Whoever drives is killed before its first word of a change leaves, after it, and so on; others end what it began. */
+    @Test(timeOut = 300_000) public void theCoordinatorDiesAtEachStep() throws Exception {
+        StringBuilder s = new StringBuilder("members 4 for 5000\n100 lookups all by 30 for 60000\n");
+        int t = 300, n = 0;
+        for (int words : new int[] {0, 1, 3, 6, 10, 15, 25}) {
+            s.append(t).append(" die 3 by ").append(words).append(" for 300\n").append(t).append(" propose 3 by ")
+                .append(1 + n++ % 4).append(" for 60000\n").append(t + 400).append(" await\n");
+            t += 500;
+        }
+        try (Real r = new Real(FaultScript.of(s.toString()), 1, null)) {
+            r.play();
+            assertTrue(r.policy.broken.isEmpty(), s + "\n" + r.policy.broken + "\n" + r.said);
+            long answered = r.said.stream().filter(x -> x.endsWith("done") || x.contains("revision")).count();
+            assertTrue(r.said.size() == n && answered < n, "it never died while it was asked: " + r.said);
+        }
+    }
+
     @Test(dataProvider = "scripts", timeOut = 300_000) public void holdsAmongProcesses(String script) throws Exception {
         try (Real r = new Real(FaultScript.of(script), 1, null)) {
             r.play();
