--- a/src/main/java/mothcross/cli/RigCommand.java
+++ b/src/main/java/mothcross/cli/RigCommand.java
@@ -21,6 +21,7 @@
 import mothcross.policy.Book;
 import mothcross.rig.FaultScript;
 import mothcross.rig.FleetRules;
+import mothcross.rig.History;
 import mothcross.rig.PolicyPlay;
 import mothcross.rig.PolicyRules;
 import mothcross.rig.Real;
@@ -75,6 +76,7 @@
         try (Real r = new Real(read(script), seed, logs)) {
             r.play();
             r.said.forEach(System.out::println);
+            deaths(r.history);
             int state = said(r.check(), r.history.events.size());
             if (!r.answers.isEmpty()) {
                 state = Math.max(state, said(r.policy));
@@ -88,6 +90,28 @@
         }
     }
 
+    /** From the end of each process for good until each of the others has a view without it. */
+    private static void deaths(History h) {
+        Map<String, Double> ended = new TreeMap<>();
+        List<Double> known = new ArrayList<>();
+        for (History.Event e : h.events) {
+            if (e.kind() == History.Kind.ENDS) ended.put(e.name(), e.at());
+            else if (e.kind() == History.Kind.STARTS) ended.remove(e.name());
+        }
+        ended.forEach((name, at) -> {
+            Map<Integer, Double> out = new TreeMap<>();
+            for (History.Event e : h.events) {
+                boolean without = e.kind() == History.Kind.VIEW && e.at() > at && !e.name().equals(name)
+                    && e.members().stream().noneMatch(m -> m.startsWith(name + "@"));
+                if (without) out.putIfAbsent(e.member(), e.at() - at);
+            }
+            known.addAll(out.values());
+        });
+        if (!known.isEmpty()) System.out.println(ended.size()
+            + " ended for good; out of the others' views, ms, p50 / p99"
+            + " / most: " + row(known));
+    }
+
     /** How long lookups took, those near the exchange of a table at their director apart from the rest. */
     private static void times(Real r) {
         List<Double> near = new ArrayList<>(), far = new ArrayList<>();
--- a/src/main/java/mothcross/policy/Party.java
+++ b/src/main/java/mothcross/policy/Party.java
@@ -73,6 +73,7 @@
     private double otherDrove = Double.NEGATIVE_INFINITY;
     private boolean drives;
     private double doubtsSince = Double.NaN;                // something later may be decided than is known here
+    private Turn undecided = Turn.NONE;                     // what was accepted in it was found not to be decided
     private Said.AskThem pointed;
     private String fetchedFirst = "";
     private Said.Standing saidLast;
@@ -458,7 +459,9 @@
      */
     private boolean doubts(double now) {
         Book b = voter.state().accepted();
-        if (b == null || b.revision() <= known().revision()) doubtsSince = Double.NaN;
+        boolean settled = b == null || b.revision() <= known().revision()
+            || voter.state().acceptedAt().equals(undecided);
+        if (settled) doubtsSince = Double.NaN;
         else if (Double.isNaN(doubtsSince)) doubtsSince = now;
         return now - doubtsSince >= TAKEOVER + RANK * rank();
     }
@@ -489,6 +492,8 @@
             boolean own = writer.isOwn();
             Move m = writer.move();
             if (own) count(Count.WRITES_DONE);
+            // Most voters know nothing later: what this one has accepted was never decided, and is left at that.
+            if (m == null && (b == null || b.revision() <= known().revision())) undecided = voter.state().acceptedAt();
             if (own) settleAsked(m, "done, revision " + b.revision());
             writer.stop();
             if (b != null) {
