Every answer reaches its client before the end does: half-close and linger, on every path

Seen: by reading, then by scenarios that force it. A close that follows an answer (closeOnFlush in ClientConnection.write) over bytes that came in meanwhile resets the connection; the end of the process (Life.end, then halt) did so to every open one; a client that had sent much ahead was read no further, so that its close was never noticed and its request went on for nobody; one that had asked and closed before it was read was sent on all the same.

Ruled out: that the library tells the end of input before the bytes in front of it (its loop, read by javap: bytes are passed on first).

Change: client endings are states (table in ClientConnection): OPEN, FLUSHING, LINGERING, CLOSED; each close after an answer, each refusal, each idle end and the end of the process goes through shut(), which shuts our side when all is with the system, reads and throws away what comes, and closes when the client does or after 0.5 s. Ending: the process's end as states by time alone (serving, draining, closing, out); after SIGTERM every answer says Connection: close, after 0.7 s nothing listens once nobody came for 50 ms, who rests is half-closed, and the process goes when no client is left or just before it is killed. Processor, the library's thread with two marks of its own: end of input, and shutting the write side. Reading goes on while a request is open; 128 KB ahead a client, 24 KB where all hold an eighth of the memory, then the connection ends behind what was whole (counter: too far ahead). The library's pool of one is gone.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -5,6 +5,7 @@
 import mothcross.Workload;
 import mothcross.route.RouteTable;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.WriteFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -12,10 +13,24 @@
  * HTTP/1.1 with one client, a lookup at a time. Owns the head being read, the lookup that is open and the
  * bytes still to be written. Must never write after a lookup's answer but for the next lookup, start a
  * second lookup before the first is answered, or send on a field that it could not use.
+ *
+ * <p>How it ends, whichever side begins:
+ * <pre>
+ * state       what holds                                                   left
+ * OPEN        requests are read and answered, in their order               a last answer: FLUSHING; idle too long, or the
+ *                                                                          process ends and nothing is open: LINGERING
+ * FLUSHING    the last answer is on its way, nothing more is taken         all of it is with the system: LINGERING
+ * LINGERING   our side is shut; what still comes is read and thrown away,  LINGER_MS: CLOSED
+ *             since a close over unread bytes would reset the connection
+ *             and take the answer with it
+ * CLOSED      the client has closed or reset (from any state), or was put
+ *             out to make room; an open lookup's client is gone
+ * </pre>
  */
 final class ClientConnection extends Connection {
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
-    private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, MOST_PASSED_OVER = 256 << 10;
+    private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, MOST_PASSED_OVER = 256 << 10,
+        MOST_AHEAD = 128 << 10;
     // A first message is to be whole so long after connecting, a later one after its first byte; clients are
     // owed a word within 3 s. Usual ones keep an idle connection for 4 s, counted from when they have read the
     // answer, and ask at once on a new one: what is idle much longer is left over, what says nothing at first silent.
@@ -31,8 +46,12 @@
 
     private Lookup lookup;
     private long plan = -1;                             // that the latest lookup is decided by
-    private boolean close, ending, proven, suspended, suspected;
-    private int scanned, passedOver, awaits;
+    private enum State { OPEN, FLUSHING, LINGERING, CLOSED }
+
+    private State state = State.OPEN;
+    private boolean close, proven, suspected, cut;
+    private WriteFuture written;                        // the latest answer's
+    private int scanned, passedOver, awaits, held;
     private double idleSince;
     // The head just read, as places in the bytes; -1 where absent.
     private int target, targetEnd, known, knownEnd, id, idEnd;
@@ -45,12 +64,14 @@
     /** The one time that the connection waits for while no lookup is open on it. */
     private final Bells.Bell patience = new Bells.Bell() {
         @Override void ring() {
-            if (lookup != null) return;
-            if (!ending && left() == 0 && !suspected) {
-                closeIfIdle();
-            } else if (ending || left() == 0) {
-                if (!ending) desk.count.idle++;
+            if (lookup != null || state == State.FLUSHING) return;
+            if (state != State.OPEN) {
                 end();
+            } else if (left() == 0 && !suspected) {
+                closeIfIdle();
+            } else if (left() == 0) {
+                desk.count.idle++;
+                shut();
             } else {
                 desk.count.slowHead++;
                 refuseHead("408 Request Timeout");
@@ -70,9 +91,10 @@
     }
 
     @Override void closed() {
-        ending = true;
+        state = State.CLOSED;
         desk.bells.cancel(patience);
         desk.gone(this);
+        holds(0);
         if (lookup != null) {
             Lookup l = lookup;
             lookup = null;
@@ -82,7 +104,7 @@
 
     int worth() {
         if (lookup != null || session.getScheduledWriteBytes() > 0) return IN_USE;
-        if (ending) return REFUSED;
+        if (state != State.OPEN) return REFUSED;
         if (!proven) return idleFor() > SILENT_MS ? SILENT : YOUNG;
         return left() == 0 && !suspected ? IDLE : IN_USE;
     }
@@ -93,10 +115,37 @@
 
     /** It goes now; what crosses that is not taken. */
     void end() {
-        ending = true;
+        state = State.CLOSED;
         drop();
     }
 
+    /** Nothing more is taken; what was written, if anything, reaches the client before the end does. */
+    private void shut() {
+        if (state != State.OPEN) return;
+        state = State.FLUSHING;
+        from = to;
+        if (written == null) linger();
+        else written.addListener(f -> desk.locked(this::linger));
+    }
+
+    private void linger() {
+        if (state != State.FLUSHING) return;
+        state = State.LINGERING;
+        Processor.shutdownOutput(session);
+        desk.bells.set(patience, desk.clock() + LINGER_MS);
+    }
+
+    /** The process ends: where nothing is open or on its way in, the client is told to go; else after its answer. */
+    void endIfResting() {
+        if (lookup == null && left() == 0) shut();
+    }
+
+    /** What is held here of what the client has sent ahead; all clients together hold so much of the memory at most. */
+    private void holds(int bytes) {
+        desk.ahead += bytes - held;
+        held = bytes;
+    }
+
     /** What it asked may be here and not read yet, where the process had no core for a while: that is awaited. */
     void closeIfIdle() {
         suspected = true;
@@ -104,26 +153,33 @@
     }
 
     void goOn() {
-        if (ending) return;
-        if (suspended) session.resumeRead();
-        suspended = false;
-        received();
+        if (state == State.OPEN) received();
     }
 
     @Override void received() {
+        if (state == State.OPEN && lookup == null && Processor.endOfInput(session)) {
+            desk.count.leftUnread++;                        // it asked and went before that was read: nobody waits
+            state = State.CLOSED;
+        }
         suspected = false;
+        if (cut) to = from + held;                          // what comes after what was cut can't be read
         readHeads();
-        if (ending) {                                   // its last answer is on its way
+        if (state != State.OPEN) {                          // its last answer is on its way
             passedOver += left();
             from = to;
             if (passedOver > MOST_PASSED_OVER) session.suspendRead();
         } else if (lookup != null) {
             awaits = NOTHING;
             desk.bells.cancel(patience);
-            if (left() > LONGEST_HEAD + LARGEST_BODY) {
-                session.suspendRead();                  // the rest waits where it is: it costs nobody else
-                suspended = true;
+            // Reading goes on: a client that has gone shows itself only behind all that it has sent.
+            int most = desk.holdsMuch() ? LONGEST_HEAD + LARGEST_BODY : MOST_AHEAD;
+            if (left() > most) {
+                if (!cut) desk.count.tooFarAhead++;
+                cut = true;
+                to = from + most;
             }
+        } else if (cut) {
+            shut();                                         // all that was whole has its answer
         } else if (left() > 0) {
             if (awaits != REST) desk.bells.set(patience, desk.clock() + WHOLE_MS);
             awaits = REST;
@@ -132,10 +188,11 @@
             idleSince = desk.clock();
             desk.bells.set(patience, idleSince + IDLE_MS);
         }
+        holds(left());
     }
 
     private void readHeads() {
-        while (lookup == null && !ending && left() > 0) {
+        while (lookup == null && state == State.OPEN && left() > 0) {
             // Empty lines before a head are let pass, as the standard asks of servers.
             while (scanned == 0 && left() > 1 && bytes[from] == '\r' && bytes[from + 1] == '\n') from += 2;
             int end = headEnd();
@@ -360,7 +417,7 @@
     // ---- answers, each of them final ----
 
     void handled(Hop h) {
-        close |= desk.crowding();
+        close |= desk.crowding() || desk.draining;
         IoBuffer b = h.answer;
         int end = b.position(), length = end - NodeConnection.HEAD_ROOM;
         StringBuilder s = new StringBuilder(160);
@@ -406,28 +463,22 @@
     }
 
     private IoBuffer whole(String status, String fields, String body) {
-        close |= desk.crowding();
+        close |= desk.crowding() || desk.draining;
         String end = close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
         return IoBuffer.wrap(Bytes.of("HTTP/1.1 " + status + "\r\n" + fields + byPlan() + "Content-Length: "
             + body.length() + end + body));
     }
 
     private void write(IoBuffer b) {
-        if (ending) return;
-        session.write(b);
+        if (state != State.OPEN) return;
+        written = session.write(b);
         desk.boundUnwritten(this);
-        if (!close) return;
-        ending = true;
-        session.closeOnFlush();
+        if (close) shut();
     }
 
     private void refuseHead(String status) {
         LOG.debug("head refused: {}", status);
         close = true;
-        ending = true;
-        from = to;
-        session.write(whole(status, status.startsWith("405") ? "Allow: GET\r\n" : "", ""));
-        // Closed at once, what still comes in would make the system take the answer back from the client.
-        desk.bells.set(patience, desk.clock() + LINGER_MS);
+        write(whole(status, status.startsWith("405") ? "Allow: GET\r\n" : "", ""));
     }
 }
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -11,7 +11,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Counters.class);
     long lookups, handled, unchanged, bounced, givenUp, left, hops, connects, up, probes, probesFit;
     long badHead, longHead, badPath, badField, badNode, badFrame, silent, slowReaders, crowded, idle, slowHead,
-        reloads, notCurrent;
+        reloads, notCurrent, leftUnread, tooFarAhead;
     /** What must never happen: asserted in tests and debug runs, counted here in release. */
     long faults, unanswered, broken;
     private static final int MOST_WARNINGS = 20;
@@ -39,7 +39,7 @@
     String line() {
         StringBuilder s = new StringBuilder("lookups ").append(lookups).append(", handled ").append(handled)
             .append(" (unchanged ").append(unchanged).append("), bounced ").append(bounced)
-            .append(", given up ").append(givenUp).append(", left ").append(left).append("; hops ")
+            .append(", given up ").append(givenUp).append(", left ").append(left).append(" (unread ").append(leftUnread).append("); hops ")
             .append(hops).append(':');
         for (int i = 0; i < ends.length; i++) {
             if (ends[i] > 0) s.append(' ').append(END[i]).append(' ').append(ends[i]);
@@ -49,6 +49,7 @@
         s.append(", node ").append(badNode).append(", frame ").append(badFrame).append(", silent ").append(silent);
         s.append("; clients: slow to ask ").append(slowHead).append(", left idle ").append(idle);
         s.append(", slow readers ").append(slowReaders).append(", crowded ").append(crowded);
+        s.append(", too far ahead ").append(tooFarAhead);
         if (notCurrent > 0) s.append("; not current ").append(notCurrent);
         s.append("; reloads ").append(reloads).append(", warnings kept back ").append(keptBack);
         warned = 0;
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -58,6 +58,10 @@
     private final LinkedHashSet<ClientConnection> clients = new LinkedHashSet<>();
     private int mostClients, nodeSockets;
     private long mostUnwritten;
+    /** Bytes that clients have sent ahead of their turn. */
+    long ahead;
+    /** Told to end: every answer ends its connection. */
+    boolean draining;
     private boolean atWork, closing;
     private double now;
     volatile boolean ready;
@@ -242,6 +246,16 @@
         return clients.size();
     }
 
+    /** Where clients together have sent much ahead, each may only a little. */
+    boolean holdsMuch() {
+        return ahead > mostUnwritten;
+    }
+
+    /** The process ends and nobody can come any more: who rests is told to go, who is answered goes after it. */
+    void endResting() {
+        for (ClientConnection c : new ArrayList<>(clients)) c.endIfResting();
+    }
+
     long unwritten() {
         long sum = 0;
         for (ClientConnection c : clients) sum += c.session.getScheduledWriteBytes();
--- /dev/null
+++ b/src/main/java/mothcross/net/Ending.java
@@ -0,0 +1,51 @@
+package mothcross.net;
+
+/**
+ * The end of a director's process as states; time is passed in. Owns when each begins; must never end one while an
+ * answer is owed and there is time for it.
+ * <pre>
+ * state     what holds                                                     left
+ * SERVING   clients are taken, /-/healthy says ready                       told to end: DRAINING
+ * DRAINING  /-/healthy says no; what comes is taken and answered, and      nothing can come any more (the protocol page's
+ *           every answer ends its connection                               time) and nobody waits to be taken: CLOSING
+ * CLOSING   nothing listens; who rests finds our side shut, who has asked  no client is left, or the bound: OUT
+ *           is answered; past answeredBy what is open is given up at once
+ * OUT       the process may go: nothing is owed
+ * </pre>
+ */
+final class Ending {
+    enum State { SERVING, DRAINING, CLOSING, OUT }
+
+    // The protocol page's figures for a planned restart: how long requests may still come, the longest deadline that
+    // is waited for, how long nobody has to have come for none to be waiting. MARGIN: what is left for the last answers.
+    static final double STILL_COMES_MS = 700, LONGEST_ANSWER_MS = 3000, MARGIN_MS = 150, QUIET_MS = 50;
+
+    private State state = State.SERVING;
+    private double toldAt, answeredBy;
+
+    /** {@code longestMs}: the longest that a client waits, by the settings. */
+    void begins(double now, double longestMs) {
+        if (state != State.SERVING) return;
+        state = State.DRAINING;
+        toldAt = now;
+        answeredBy = now + STILL_COMES_MS + Math.min(LONGEST_ANSWER_MS, longestMs) - MARGIN_MS;
+    }
+
+    State state() {
+        return state;
+    }
+
+    /** When what is still open has to be given up, for its answer to arrive. */
+    double answeredBy() {
+        return answeredBy;
+    }
+
+    /** {@code cameAt}: when the last client was taken; {@code clients}: how many connections are not closed yet. */
+    State step(double now, double cameAt, int clients) {
+        boolean nobodyComes = now >= toldAt + STILL_COMES_MS && (now >= cameAt + QUIET_MS || now >= answeredBy);
+        if (state == State.DRAINING && nobodyComes) state = State.CLOSING;
+        // Half of what is left: the end comes before the platform's, and the last answers before it.
+        if (state == State.CLOSING && (clients == 0 || now >= answeredBy + MARGIN_MS / 2)) state = State.OUT;
+        return state;
+    }
+}
--- a/src/main/java/mothcross/net/Life.java
+++ b/src/main/java/mothcross/net/Life.java
@@ -16,9 +16,7 @@
 import mothcross.route.RouteTable;
 import mothcross.route.Rules;
 import org.apache.mina.core.service.IoProcessor;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.transport.socket.SocketSessionConfig;
-import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
@@ -35,8 +33,6 @@
     private static final Logger LOG = LoggerFactory.getLogger("mothcross");
     private static final double COUNTERS_MS = 10_000;
     private static final int CLIENT_READ = 16 << 10;
-    // The protocol page's figures for a planned restart.
-    private static final double STILL_COMES_MS = 700, LONGEST_ANSWER_MS = 3000, MARGIN_MS = 150;
     private static final long LAST_WRITE_MS = 500;
 
     private Start start;
@@ -49,12 +45,14 @@
     private final NioSocketConnector connector;
     private final IoProcessor<NioSession> processor;
     private final CountDownLatch over = new CountDownLatch(1);
-    private double terminatedAt, share = 1;
+    private final Ending ending = new Ending();
+    private double share = 1;
 
     /** Accepts no faster than clients that have to go make room, so that descriptors never run out. */
     private static final class Acceptor extends NioSocketAcceptor {
         private static final int HELD_UP_MS = 50;
         volatile int most;
+        volatile double cameAt;
         private final AtomicInteger held = new AtomicInteger();
 
         Acceptor(Executor threads, IoProcessor<NioSession> processor) {
@@ -66,6 +64,7 @@
             for (int i = 0; held.get() >= most && i < HELD_UP_MS; i++) Thread.sleep(1);
             NioSession s = held.get() >= most ? null : super.accept(processor, from);
             if (s == null) return null;
+            cameAt = System.currentTimeMillis();
             held.incrementAndGet();
             s.getCloseFuture().addListener(f -> held.decrementAndGet());
             return s;
@@ -101,7 +100,7 @@
             t.setDaemon(true);
             return t;
         });
-        processor = new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+        processor = new Processor(threads);
         connector = new NioSocketConnector(threads, processor);
         acceptor = new Acceptor(threads, processor);
         desk = new Desk(start.opening, connector, start.mostHops);
@@ -150,7 +149,7 @@
         acceptor.bind(start.listen);
         desk.locked(() -> {
             counters();
-            desk.ready = true;
+            desk.ready = ending.state() == Ending.State.SERVING;    // it may have been told to end meanwhile
         });
         LOG.info("{} serves on {}", start.name, acceptor.getLocalAddress());
     }
@@ -293,35 +292,38 @@
             (r.totalMemory() - r.freeMemory()) >> 20);
     }
 
-    /** SIGTERM: goes on serving as long as lookups may come, answers all that is open, then returns. */
+    /** SIGTERM: goes on serving as long as requests may come, answers all that is open, then returns; see {@link Ending}. */
     public void end() throws InterruptedException {
         double longest = 0;
         for (Workload w : start.opening.all) longest = Math.max(longest, w.abandonMs());
-        double answeredBy;
         desk.enter();
         try {
             desk.ready = false;
-            terminatedAt = desk.clock();
-            answeredBy = terminatedAt + STILL_COMES_MS + Math.min(LONGEST_ANSWER_MS, longest) - MARGIN_MS;
+            desk.draining = true;
+            ending.begins(desk.clock(), longest);
             desk.bells.set(new Bells.Bell() {
                 @Override void ring() {
                     desk.endAll();
                 }
-            }, answeredBy);
+            }, ending.answeredBy());
         } finally {
             desk.leave();
         }
         LOG.info("told to end: answering what is open");
-        while (true) {
+        for (boolean listens = true;; Thread.sleep(5)) {
+            Ending.State s;
             desk.enter();
             try {
-                double t = desk.clock();
-                boolean done = desk.openLookups() == 0 && desk.unwritten() == 0;
-                if (t >= terminatedAt + STILL_COMES_MS && done || t >= answeredBy + MARGIN_MS) break;
+                s = ending.step(desk.clock(), acceptor.cameAt, desk.clients());
             } finally {
                 desk.leave();
             }
-            Thread.sleep(5);
+            if (s == Ending.State.CLOSING && listens) {
+                listens = false;
+                acceptor.unbind();
+                desk.locked(desk::endResting);
+            }
+            if (s == Ending.State.OUT) break;
         }
         desk.locked(() -> {
             bulletin.stop();
--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -31,10 +31,11 @@
  * Plays the scenario files of the director on sockets: a real one on loopback, its clients, nodes and
  * bulletin by stand-ins. A line names one of them and what it does: {@code >} writes, {@code drip} writes
  * byte by byte, {@code <} reads one answer, command or number and matches it whole, {@code close},
- * {@code reset}, {@code gone} (the director must have ended the connection). {@code |} stands for CR LF,
+ * {@code reset}, {@code gone} (the director must have ended the connection), {@code ends} (it must have ended without a reset),
+ * {@code eof} (its side has ended, ours goes on). {@code |} stands for CR LF,
  * {@code @F} for a number that is filled in. First {@code start KEY=VALUE}, {@code node NAME KIND},
  * {@code refused NAME KIND} (nothing listens there) and {@code mute NAME KIND} (connections never come
- * up); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes}
+ * up), {@code narrow NAME KIND} (until it is told to {@code fill} its queue); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes}
  * and {@code bells}: how many are held). No step waits for a time: each reads until what it names has come,
  * or fails after some seconds.
  */
@@ -65,7 +66,7 @@
                         for (String x : line.substring(6).split(" ")) start.put(x.split("=")[0], x.split("=")[1]);
                         continue;
                     }
-                    case "node", "refused", "mute" -> {
+                    case "node", "refused", "mute", "narrow" -> {
                         parties.put(p[1], Outside.listening(p[0], rest, parties.size()));
                         continue;
                     }
@@ -81,9 +82,9 @@
                     case "probe" -> director.probe();
                     case "counter" -> director.counter(where, p[1], Long.parseLong(rest));
                     default -> {
-                        int port = director.life.port();
+                        int port = director.port;
                         Outside who = parties.computeIfAbsent(p[0], n -> Outside.client(n, port));
-                        if (p[1].equals("<") || p[1].equals("gone")) checks++;
+                        if (p[1].equals("<") || p[1].equals("gone") || p[1].equals("ends")) checks++;
                         step(where, who, p[1], director.fill(rest, parties));
                     }
                 }
@@ -112,11 +113,14 @@
                 assertTrue(Pattern.compile(rest, Pattern.DOTALL).matcher(got).matches(), where + "got " + got);
             }
             case "gone" -> assertTrue(who.gone(), where + "still open");
+            case "ends" -> assertTrue(who.ends(), where + "reset, or still open");
             case "close" -> who.close(false);
             case "reset" -> who.close(true);
             case "accept" -> who.accept();
             case "keep" -> who.keep();
             case "clear" -> who.clear();
+            case "fill" -> who.fill();
+            case "eof" -> assertEquals(who.in.read(), -1, where);
             case "shut" -> who.server.close();
             default -> throw new IllegalArgumentException(where + what);
         }
@@ -125,12 +129,14 @@
     /** The director under test with what it was told. */
     private static final class Run {
         final Life life;
+        final int port;
         private Thread ending;
 
         Run(Map<String, String> start, Map<String, Outside> parties) throws Exception {
             life = new Life(Start.of(com.google.gson.JsonParser.parseString(Outside.told(start, parties))
                 .getAsJsonObject(), null, true, 0));
             life.begin();
+            port = life.port();
         }
 
         void end() throws InterruptedException {
@@ -334,12 +340,10 @@
             Outside o = new Outside(kind, index, 0);
             o.server = new ServerSocket();
             if (how.equals("tight")) o.server.setReceiveBufferSize(4096);       // little is taken that nobody reads
-            o.server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), how.equals("mute") ? 1 : 50);
+            o.server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), how.matches("mute|narrow") ? 1 : 50);
             o.server.setSoTimeout(PATIENCE_MS);
             if (how.equals("refused")) o.server.close();
-            if (how.equals("mute")) {                           // its queue full, the system answers no more
-                for (int i = 0; i < 2; i++) o.crowd.add(new Socket(o.server.getInetAddress(), o.server.getLocalPort()));
-            }
+            if (how.equals("mute")) o.fill();
             return o;
         }
 
@@ -365,6 +369,12 @@
             socket = null;
         }
 
+        /** From now on connections never come up: its queue full, the system answers no more. */
+        void fill() throws IOException {
+            crowd.clear();
+            for (int i = 0; i < 2; i++) crowd.add(new Socket(server.getInetAddress(), server.getLocalPort()));
+        }
+
         /** Takes what filled the queue out of it, so that connections come up. */
         void clear() throws IOException {
             for (Socket s : crowd) {
@@ -434,6 +444,17 @@
             }
         }
 
+        /** Ended as it should: all that was written could be read, and no reset took its place. */
+        boolean ends() throws IOException {
+            try {
+                return in.read() < 0;
+            } catch (SocketException e) {
+                return false;
+            } finally {
+                close(false);
+            }
+        }
+
         void close(boolean reset) throws IOException {
             if (socket == null) return;
             if (reset) socket.setSoLinger(true, 0);
