Nothing is written for a request that is over, nor a tagged one past its window

Seen: where the settings forbid calling off (Gate.callOffRest returns at once), what still waited for a connection was sent when that came up, for a client long gone; and never_mind was written all the same whenever a hop ran out. A tagged request that may have run, and whose next attempt waited for a connection, was sent past the time in which its repeats are dropped: the gate looks when it decides, not when the first byte leaves.

Change: Desk.ended takes back every hop that is not written, whatever the end and the settings; Desk.mayBeSent is asked by NodeConnection.flow, the one place that every send passes, when the first byte is about to leave: over, or past the window counted from the first byte of the attempt that may have run, it goes back as never sent. never_mind only where calling off is allowed.

--- a/src/main/java/mothcross/door/Opening.java
+++ b/src/main/java/mothcross/door/Opening.java
@@ -31,7 +31,7 @@
     public final double connectMs, idleMs;
     /** The pace of one answer's bytes as the settings tell it, or infinite. */
     public final double flowKbPerMs;
-    public final boolean probes;
+    public final boolean probes, callsOff;
     /** The longest advice to clients when to come back, 0 where none is carried; and who shares this place. */
     public final double longestWaitMs;
     public final int directorsHere;
@@ -53,6 +53,7 @@
         connectMs = l.ms("Caps.ConnectTimeout", 1000);
         idleMs = l.ms("Caps.IdleClose", 30_000);
         probes = l.flag("Caps.Probing");
+        callsOff = l.flag("Caps.Cancel");
         purgesRunMs = 2 * l.ms("FamilyInfo.PurgeTakes", 0) + 10_000;
         chanceOfEdges = ~seed;
 
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -15,6 +15,7 @@
 import mothcross.Director;
 import mothcross.Narrowing;
 import mothcross.RoundReader;
+import mothcross.Workload;
 import mothcross.door.Opening;
 import mothcross.door.Slots;
 import org.apache.mina.core.service.IoConnector;
@@ -176,10 +177,17 @@
         release(l);
     }
 
+    /** Nobody waits any more: what has not been written is not sent, whether or not calling off is allowed. */
     private void ended(Lookup l) {
         bells.cancel(l);
         open.remove(l.number, l);
         slots.over(l.index);
+        for (int i = 0; i < l.hopCount(); i++) {
+            Hop h = l.hop(i);
+            if (h.ended || h.written != null) continue;
+            if (h.on != null) h.on.giveUp(h);
+            end(h, Director.NOT_SENT);
+        }
     }
 
     private void release(Lookup l) {
@@ -297,6 +305,32 @@
         NodeConnection.send(this, h);
     }
 
+    /**
+     * Asked when a hop's first byte is about to be written, by whatever way it came there. Guards against what changed
+     * while it waited for its connection: nobody waits any more, or its repeats are dropped no longer.
+     */
+    boolean mayBeSent(Hop h) {
+        Lookup l = h.lookup;
+        boolean waitedFor = !isOver(l);
+        count.hold(waitedFor, "nothing is sent for a request that is over");
+        if (!waitedFor) return false;
+        Workload w = opening.all[l.workload];
+        if (w.effect() != Workload.Effect.TAGGED) return true;
+        double t = clock();
+        for (int i = 0; i < h.number; i++) {
+            Hop x = l.hop(i);
+            boolean ran = x.written != null && !(x.ended && neverRan(x.outcome));
+            if (ran && t >= x.writtenAt + w.rememberedMs()) return false;
+        }
+        return true;
+    }
+
+    /** What the protocol says of an end: the request was not taken up. */
+    private static boolean neverRan(int outcome) {
+        return outcome == Director.FULL || outcome == Director.UNREACHED || outcome == Director.NOT_SENT
+            || outcome == Director.MISS;
+    }
+
     /** A hop's time limit. */
     void ranOut(Hop h) {
         NodeConnection on = h.on;
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -179,7 +179,9 @@
                 if (!asked) handed.written.addListener(f -> desk.locked(this::goesOn));
                 return;
             }
-            write(waiting.poll());
+            Hop h = waiting.poll();
+            if (desk.mayBeSent(h)) write(h);
+            else desk.end(h, Director.NOT_SENT);
         }
     }
 
@@ -236,7 +238,9 @@
         out.remove(h.lookup.number, h);
         if (bodyFor == h) bodyFor = null;
         if (!up) return false;
-        session.write(IoBuffer.wrap(Bytes.of("never_mind " + Bytes.text(h.lookup.id) + "\r\n")));
+        if (desk.opening.callsOff) {
+            session.write(IoBuffer.wrap(Bytes.of("never_mind " + Bytes.text(h.lookup.id) + "\r\n")));
+        }
         boolean silent = heardAt < h.writtenAt;
         retireWhenDone();
         return silent;
