A watch lives by whole frames: one that trickles, or has lost its place, is made anew

Seen: any byte counted as news of life (Feed.received set heardAt), so half a frame that trickles kept a dead watch for ever; an empty frame that names a later event than the last one known was taken for 'nothing new', so an event that was lost stayed lost.

Change: the time of the last whole frame decides; 'nothing new after an event that never came' ends the watch and asks again.

--- a/src/main/java/mothcross/net/Bulletin.java
+++ b/src/main/java/mothcross/net/Bulletin.java
@@ -184,7 +184,7 @@
 
     private final class Feed extends Connection {
         private ConnectFuture connecting;
-        private double heardAt;
+        private double wholeAt;                         // when its last whole frame came, or it came up
         private boolean up;
 
         Feed() {
@@ -192,7 +192,7 @@
         }
 
         void connect() {
-            heardAt = desk.clock();
+            wholeAt = desk.clock();
             connecting = desk.connector.connect(address, (session, future) -> bind(session));
             connecting.addListener(f -> {
                 if (connecting.getException() == null && !connecting.isCanceled()) return;
@@ -201,19 +201,22 @@
             watch();
         }
 
-        /** One bell for the whole life of the connection: it looks whether anything came lately. */
+        /**
+         * One bell for the whole life of the connection: it looks whether a frame came lately. Bytes are no news: half
+         * a frame that trickles would keep a watch that tells nothing.
+         */
         private void watch() {
             desk.bells.set(new Bells.Bell() {
                 @Override void ring() {
                     if (feed != Feed.this) return;
-                    if (desk.clock() < heardAt + patience()) {
+                    if (desk.clock() < wholeAt + patience()) {
                         watch();
                         return;
                     }
                     end(up ? "silent" : "does not come up");
                     connecting.cancel();
                 }
-            }, heardAt + patience());
+            }, wholeAt + patience());
         }
 
         private double patience() {
@@ -237,7 +240,7 @@
                 return;
             }
             up = true;
-            heardAt = desk.clock();
+            wholeAt = desk.clock();
             session.write(IoBuffer.allocate(8).putLong(news.last()).flip());
         }
 
@@ -247,7 +250,6 @@
 
         @Override void received() {
             if (feed != this) return;
-            heardAt = desk.clock();
             while (left() >= 4) {
                 long length = big(from, 4);
                 if (length < 9 || length > LONGEST_FRAME) {
@@ -259,6 +261,7 @@
                 if (!frame(big(at, 8), bytes[at + 8], at + 9, end)) return;
                 failedToSpeak = 0;
                 spoken.countDown();
+                wholeAt = desk.clock();
                 from = end;
             }
         }
@@ -271,6 +274,9 @@
                 boolean[] anew = new boolean[1];
                 desk.round(to -> anew[0] = news.nothingNew(to, number));
                 if (anew[0]) end("older than what is known");
+                // Nothing new after an event that never came: it was lost on the way, and is asked for again.
+                else if (number > news.last()) return malformed("nothing new after event " + number + ", known "
+                    + news.last());
                 return !anew[0];
             }
             long last = news.last();
