Requests that write are taken: PUT with its body and its token go to the origin

Change: PUT for classes that write (FamilyInfo.NeverKept), GET for the others; the other way round is refused, as a node is not told the method and would answer by the class. Bodies up to the protocol's 240,000 bytes, counted into what clients hold of the memory; where all hold too much, a large one is refused.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -29,8 +29,9 @@
  */
 final class ClientConnection extends Connection {
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
-    private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, MOST_PASSED_OVER = 256 << 10,
-        MOST_AHEAD = 128 << 10;
+    // What a read may bring along, and a write (the protocol page's largest object).
+    private static final int LONGEST_HEAD = 8192, LARGEST_BODY = 16_384, LARGEST_WRITE = 240_000,
+        MOST_PASSED_OVER = 256 << 10, MOST_AHEAD = 128 << 10;
     // A first message is to be whole so long after connecting, a later one after its first byte; clients are
     // owed a word within 3 s. Usual ones keep an idle connection for 4 s, counted from when they have read the
     // answer, and ask at once on a new one: what is idle much longer is left over, what says nothing at first silent.
@@ -54,10 +55,10 @@
     private int scanned, passedOver, awaits, held;
     private double idleSince;
     // The head just read, as places in the bytes; -1 where absent.
-    private int target, targetEnd, known, knownEnd, id, idEnd;
+    private int target, targetEnd, known, knownEnd, id, idEnd, token, tokenEnd;
     private double wait, sizeKb;
     private long bodyLength, group;
-    private boolean repeat, usable;
+    private boolean repeat, usable, writes;
     private int seen;
     private byte[] address;
 
@@ -215,7 +216,11 @@
                 refuseHead(fault);
                 return;
             }
-            if (to - end < bodyLength) return;          // the rest of the body is still to come
+            if (to - end < bodyLength) {                // the rest of the body is still to come
+                // Guards against many large bodies at once, which would fill the memory half read.
+                if (desk.holdsMuch() && left() > LONGEST_HEAD + LARGEST_BODY) refuseHead("503 Service Unavailable");
+                return;
+            }
             scanned = 0;
             from = end + (int) bodyLength;              // before it is asked: its answer may end the connection
             awaits = NOTHING;
@@ -234,7 +239,7 @@
 
     /** Reads the head where it stands; the status to refuse it with, or null. */
     private String head(int end) {
-        target = known = id = -1;
+        target = known = id = token = -1;
         sizeKb = 0;
         wait = Double.NaN;
         group = -1;
@@ -249,7 +254,8 @@
         if (a <= from || b <= a + 1) return "400 Bad Request";
         boolean old = Bytes.is(bytes, b + 1, eol - 1, "HTTP/1.0");
         if (!old && !Bytes.is(bytes, b + 1, eol - 1, "HTTP/1.1")) return "400 Bad Request";
-        if (!Bytes.is(bytes, from, a, "GET")) return "405 Method Not Allowed";
+        writes = Bytes.is(bytes, from, a, "PUT");
+        if (!writes && !Bytes.is(bytes, from, a, "GET")) return "405 Method Not Allowed";
         target = a + 1;
         targetEnd = b;
         close = old;
@@ -266,7 +272,7 @@
             if (Bytes.isWord(bytes, at, colon, "content-length")) {
                 long n = Bytes.whole(bytes, v, e);
                 if (n < 0 || bodyLength >= 0 && bodyLength != n) return "400 Bad Request";
-                if (n > LARGEST_BODY) return "413 Content Too Large";
+                if (n > (writes ? LARGEST_WRITE : LARGEST_BODY)) return "413 Content Too Large";
                 bodyLength = n;
             } else if (Bytes.isWord(bytes, at, colon, "transfer-encoding")) {
                 return "501 Not Implemented";
@@ -306,17 +312,24 @@
         } else if (Bytes.isWord(bytes, name, nameEnd, "req-kb")) {
             sizeKb = Bytes.number(bytes, v, e);
             once(8, sizeKb >= 0);
+        } else if (Bytes.isWord(bytes, name, nameEnd, "req-token")) {
+            once(16, fitsALine(v, e));
+            token = v;
+            tokenEnd = e;
         } else if (Bytes.isWord(bytes, name, nameEnd, "if-none-match")) {
             // One strong tag that can stand in a line of the node's protocol; any other is as if absent.
-            if (e - v < 3 || e - v > 130 || bytes[v] != '"' || bytes[e - 1] != '"') return;
-            for (int i = v + 1; i < e - 1; i++) {
-                if (bytes[i] <= ' ' || bytes[i] == '"' || bytes[i] == ',') return;
-            }
+            if (e - v < 3 || bytes[v] != '"' || bytes[e - 1] != '"' || !fitsALine(v + 1, e - 1)) return;
             known = v + 1;
             knownEnd = e - 1;
         }
     }
 
+    /** Can stand as a value in a line of the node's protocol. */
+    private boolean fitsALine(int v, int e) {
+        for (int i = v; i < e; i++) if (bytes[i] <= ' ' || bytes[i] == '"' || bytes[i] == ',') return false;
+        return e > v && e - v <= 128;
+    }
+
     /** A field that the lookup stands on: sound, and told only once. */
     private void once(int field, boolean sound) {
         usable &= sound && (seen & field) == 0;
@@ -325,7 +338,7 @@
 
     private void ask(int bodyAt) {
         double now = desk.clock();
-        if (Bytes.is(bytes, target, targetEnd, HEALTHY)) {
+        if (!writes && Bytes.is(bytes, target, targetEnd, HEALTHY)) {
             proven = true;
             if (desk.ready && desk.mayStart()) write(whole("200 OK", "", "ready\n"));
             else write(whole("503 Service Unavailable", "", "not ready\n"));
@@ -349,7 +362,8 @@
             part = n < targetEnd && Bytes.is(bytes, c + 1, n, PART) ? Bytes.whole(bytes, n, targetEnd) : -1;
         }
         Workload w = workload == null ? null : desk.opening.all[workload];
-        if (w == null || !usable || id < 0 || part < 0 || part > Integer.MAX_VALUE
+        // Writes are PUT, reads are GET: a node is not told which, and would answer either by its class.
+        if (w == null || writes != w.neverKept() || !usable || id < 0 || part < 0 || part > Integer.MAX_VALUE
             || !Bytes.isHex(bytes, b + 1, objectEnd) || wait > BEYOND * w.abandonMs()
             || sizeKb > BEYOND * w.abandonMs() * desk.opening.flowKbPerMs) {
             desk.count.badField++;
@@ -359,7 +373,10 @@
         StringBuilder asked = new StringBuilder(96).append("sort=").append(name).append(",asset=")
             .append(Bytes.text(bytes, b + 1, objectEnd));
         if (parted) asked.append(",slice=").append(part);
-        if (known >= 0) asked.append(",known=").append(Bytes.text(bytes, known, knownEnd));
+        String copy = known < 0 ? null : Bytes.text(bytes, known, knownEnd);
+        if (copy != null) asked.append(",known=").append(copy);
+        // What marks a tagged request goes on with every attempt: by it the origin drops repeats.
+        if (token >= 0) asked.append(",op=").append(Bytes.text(bytes, token, tokenEnd));
         plan = -1;
         if (!desk.mayStart()) {
             proven = true;
@@ -368,7 +385,7 @@
             return;
         }
         byte[] body = Arrays.copyOfRange(bytes, bodyAt, bodyAt + (int) bodyLength);
-        Lookup l = new Lookup(this, Arrays.copyOfRange(bytes, id, idEnd), Bytes.of(asked.toString()), body,
+        Lookup l = new Lookup(this, Arrays.copyOfRange(bytes, id, idEnd), Bytes.of(asked.toString()), body, copy,
             Bytes.hex(bytes, b + 1, objectEnd) & Long.MAX_VALUE, (int) group,
             now + (Double.isNaN(wait) ? w.abandonMs() : wait), desk.mostHops());
         int as = workload;
@@ -479,6 +496,6 @@
     private void refuseHead(String status) {
         LOG.debug("head refused: {}", status);
         close = true;
-        write(whole(status, status.startsWith("405") ? "Allow: GET\r\n" : "", ""));
+        write(whole(status, status.startsWith("405") ? "Allow: GET, PUT\r\n" : "", ""));
     }
 }
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -59,7 +59,7 @@
     private final LinkedHashSet<ClientConnection> clients = new LinkedHashSet<>();
     private int mostClients, nodeSockets;
     private long mostUnwritten;
-    /** Bytes that clients have sent ahead of their turn. */
+    /** Bytes that clients have sent ahead of their turn, and the bodies of what is open. */
     long ahead;
     /** Told to end: every answer ends its connection. */
     boolean draining;
@@ -151,6 +151,7 @@
     boolean lookup(Lookup l, int workload, int part, double sizeKb, boolean repeat, Narrowing by) {
         if (open.putIfAbsent(l.number, l) != null) return false;
         count.lookups++;
+        ahead += l.body.length;
         int at = l.index = slots.take();
         l.workload = workload;
         if (at >= lookups.length) lookups = Arrays.copyOf(lookups, 2 * lookups.length);
@@ -182,6 +183,7 @@
         bells.cancel(l);
         open.remove(l.number, l);
         slots.over(l.index);
+        ahead -= l.body.length;
         for (int i = 0; i < l.hopCount(); i++) {
             Hop h = l.hop(i);
             if (h.ended || h.written != null) continue;
--- a/src/main/java/mothcross/net/Lookup.java
+++ b/src/main/java/mothcross/net/Lookup.java
@@ -10,6 +10,7 @@
     final long number;                  // the same as a number
     final byte[] asked;                 // the fields of a hop that say what is asked
     final byte[] body;
+    final String known;                 // the tag of the client's own copy, or null
     final long object;
     final int group;
     final double expires;
@@ -17,13 +18,14 @@
     private final Hop[] hops;
     private int hopCount;
 
-    Lookup(ClientConnection client, byte[] id, byte[] asked, byte[] body, long object, int group,
+    Lookup(ClientConnection client, byte[] id, byte[] asked, byte[] body, String known, long object, int group,
            double expires, int mostHops) {
         this.client = client;
         this.id = id;
         this.number = Bytes.hex(id, 0, id.length);
         this.asked = asked;
         this.body = body;
+        this.known = known;
         this.object = object;
         this.group = group;
         this.expires = expires;
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -45,10 +45,17 @@
     private int bodyLeft = -1;
     private Hop bodyFor;
     private int scanned;
+    // Lines and answers that have come in whole; and the count at which patience was set.
+    private static final long NOTHING_BEGUN = -1;
+    private long begun, timed = NOTHING_BEGUN;
     private boolean suspected, nodeSilent;
     private int doubts, wrongly;                        // how often it was asked, and was there, since its last answer
 
-    /** An answer that has begun goes on within the time a connection may take, or what is here is spoilt. */
+    /**
+     * A line, and an answer's bytes from one to the next, may take the time that a connection may; an answer that nobody
+     * waits for any more has until its hop's time was up, or that long. Else what is here is spoilt: one that never ends
+     * would hold up for ever what comes behind it.
+     */
     private final Bells.Bell patience = new Bells.Bell() {
         @Override void ring() {
             if (ended) return;
@@ -236,8 +243,11 @@
             return false;
         }
         out.remove(h.lookup.number, h);
-        if (bodyFor == h) bodyFor = null;
         if (!up) return false;
+        if (bodyFor == h) {
+            bodyFor = null;
+            times(Math.max(h.until, desk.clock() + desk.opening.connectMs));
+        }
         if (desk.opening.callsOff) {
             session.write(IoBuffer.wrap(Bytes.of("never_mind " + Bytes.text(h.lookup.id) + "\r\n")));
         }
@@ -321,9 +331,19 @@
         doubts = 0;
         answers();
         if (ended) return;
+        if (left() == 0 && bodyLeft < 0) {
+            desk.bells.cancel(patience);
+            timed = NOTHING_BEGUN;
+        } else if (begun != timed || bodyFor != null) {
+            times(heardAt + desk.opening.connectMs);        // what trickles within a line gets no more time for it
+        }
+    }
+
+    /** What is coming in now has to be whole, or for an answer to have gone on, by then. */
+    private void times(double by) {
+        timed = begun;
         suspected = false;
-        if (left() > 0 || bodyLeft >= 0) desk.bells.set(patience, heardAt + desk.opening.connectMs);
-        else desk.bells.cancel(patience);
+        desk.bells.set(patience, by);
     }
 
     private void answers() {
@@ -340,6 +360,7 @@
                 return;
             }
             scanned = 0;
+            begun++;
             if (end == from || bytes[end - 1] != '\r') {
                 malformed("line does not end in CR LF");
                 return;
@@ -365,6 +386,7 @@
         }
         from += 2;
         bodyLeft = -1;
+        begun++;
         Hop h = bodyFor;
         bodyFor = null;
         if (h != null) {
@@ -404,6 +426,11 @@
         }
         wrongly = 0;
         h.unchanged = bytes[a + 1] == 'K';
+        // Only the copy that the client has named may be called current, and by the node that names it.
+        if (h.unchanged && (length > 0 || h.lookup.known == null || !h.lookup.known.equals(h.tag))) {
+            bodyFor = h;
+            return malformed("a copy is kept that nobody has");
+        }
         if (outcome == Director.HANDLED) {
             desk.answerTimes.took(h.lookup.workload, desk.clock() - h.writtenAt);
             h.answer = IoBuffer.allocate(HEAD_ROOM + (int) length);
--- /dev/null
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -0,0 +1,220 @@
+package mothcross.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.*;
+import mothcross.net.ServeTest.Outside;
+import org.testng.annotations.Test;
+
+/** The instants in which something ends and something is still owed, or is owed no more. */
+public class EndingsTest {
+    private static final String ASK = "GET /api/v2/books/%02x HTTP/1.1|Req-Id: %016x|Req-Wait-Ms: %d||";
+
+    private final Map<String, Outside> parties = new TreeMap<>();
+
+    private Life life(String how, Map<String, String> start) throws Exception {
+        parties.put("bulletin", Outside.listening(how, "bulletin", 99));
+        parties.put("n1", Outside.listening("node", "cache", 1));
+        Life life = new Life(Start.of(JsonParser.parseString(Outside.told(start, parties)).getAsJsonObject(), null, true,
+            0));
+        life.begin();
+        return life;
+    }
+
+    private void release(Life life) {
+        if (life != null) life.release();
+        for (Outside o : parties.values()) o.release();
+        parties.clear();
+    }
+
+    private Outside client(String name, Life life) {
+        Outside c = Outside.client(name, life.port());
+        parties.put(name, c);
+        return c;
+    }
+
+    /** Written on and on until the other side has had enough; how is the test's control, no time is waited for. */
+    private static void trickle(Outside to, String what) throws IOException {
+        long until = System.nanoTime() + 10_000_000_000L;
+        try {
+            while (System.nanoTime() < until) {
+                to.write(what, false);
+                Thread.sleep(20);                           // the pace of the trickle
+            }
+        } catch (IOException e) {
+            return;                                         // the director has ended the connection
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        throw new AssertionError("the director bears it for ever");
+    }
+
+    /** The request and the end of its client are there together when the director comes to read: nobody waits. */
+    @Test(timeOut = 30_000) public void whoHasGoneBeforeItWasReadIsNotSentOn() throws Exception {
+        Life life = null;
+        try {
+            life = life("node", Map.of());
+            Outside a = client("a", life), b = client("b", life);
+            for (Outside c : List.of(a, b)) {
+                c.write("GET /-/healthy HTTP/1.1||", false);
+                assertTrue(c.read().startsWith("HTTP/1.1 200 "));
+            }
+            life.desk().enter();
+            try {
+                b.write("GET /-/healthy HTTP/1.1||", false);    // the one thread that reads now waits for the lock
+                Desk d = life.desk();
+                Fleet.until("it waits", d.lock::hasQueuedThreads);
+                a.write(String.format(ASK, 10, 10, 29_000), false);
+                a.close(false);
+            } finally {
+                life.desk().leave();
+            }
+            assertTrue(b.read().startsWith("HTTP/1.1 200 "));
+            b.write(String.format(ASK, 11, 11, 2900), false);
+            String want = parties.get("n1").read();
+            assertTrue(want.startsWith("want 000000000000000b "), want);
+            assertEquals(counters(life).leftUnread, 1);
+        } finally {
+            release(life);
+        }
+    }
+
+    private static Counters counters(Life life) {
+        life.desk().enter();
+        try {
+            return life.desk().count;
+        } finally {
+            life.desk().leave();
+        }
+    }
+
+    /** Half a frame that trickles is no news: the watch is made anew, as after silence. */
+    @Test(timeOut = 30_000) public void aWatchThatTricklesIsDead() throws Exception {
+        Life life = null;
+        try {
+            life = life("node", Map.of());
+            Outside bulletin = parties.get("bulletin");
+            assertEquals(bulletin.read(), "2");
+            bulletin.write("00000fff 0000000000000003 02", false);
+            trickle(bulletin, "00");
+            bulletin.close(false);
+            assertEquals(bulletin.read(), "2", "it asks anew from what it knows");
+        } finally {
+            release(life);
+        }
+    }
+
+    /** A line that trickles, and an answer that trickles after its time, hold nobody up behind them for ever. */
+    @Test(timeOut = 30_000) public void anAnswerThatNeverEndsIsEnded() throws Exception {
+        for (String begun : List.of("000000000000000a DO", "000000000000000a DONE n=mem 200000|")) {
+            Life life = null;
+            try {
+                life = life("node", Map.of("connect", "0.2"));
+                Outside a = client("a", life), n1 = parties.get("n1");
+                a.write(String.format(ASK, 10, 10, 600), false);
+                assertTrue(n1.read().startsWith("want 000000000000000a "));
+                n1.write(begun, false);
+                trickle(n1, "x");
+            } finally {
+                release(life);
+            }
+        }
+    }
+
+    /** The states of a process's end, by time alone. */
+    @Test public void theProcessEndsWhenNothingIsOwed() {
+        Ending e = new Ending();
+        assertEquals(e.state(), Ending.State.SERVING);
+        e.begins(1000, 60_000);
+        assertEquals(e.answeredBy(), 1000 + 700 + 3000 - 150.0, "the page's longest deadline");
+        assertEquals(e.step(1699, 0, 0), Ending.State.DRAINING, "who may still come finds somebody");
+        assertEquals(e.step(1710, 1700, 3), Ending.State.DRAINING, "somebody has just come: more may be waiting");
+        assertEquals(e.step(1760, 1700, 3), Ending.State.CLOSING);
+        assertEquals(e.step(e.answeredBy(), 1700, 3), Ending.State.CLOSING, "the last answers are on their way");
+        assertEquals(e.step(e.answeredBy() + 100, 1700, 3), Ending.State.OUT, "before it is killed");
+        Ending quick = new Ending();
+        quick.begins(0, 500);
+        assertEquals(quick.answeredBy(), 1050.0, "no client waits for longer");
+        assertEquals(quick.step(700, 100, 1), Ending.State.CLOSING);
+        assertEquals(quick.step(701, 100, 0), Ending.State.OUT, "nobody is left");
+        Ending busy = new Ending();
+        busy.begins(0, 500);
+        assertEquals(busy.step(1060, 1059, 9), Ending.State.CLOSING, "they never stop coming");
+    }
+
+    /** Where the connection is shut unread to make room, asked again on another, as the front and its clients do. */
+    private static String answer(int port, String ask) throws IOException {
+        for (long until = System.nanoTime() + 10_000_000_000L;;) {
+            Outside c = Outside.client("c", port);
+            try {
+                c.write(ask, false);
+                return c.read();
+            } catch (IOException e) {
+                if (System.nanoTime() > until) throw e;
+            } finally {
+                c.release();
+            }
+        }
+    }
+
+    /**
+     * In a process of its own with so many descriptors: idle clients take all that they can get while discovery is
+     * down. It is ready all the same, reaches its node, follows discovery when that is back, and ends with 0.
+     */
+    @Test(timeOut = 60_000) public void idleClientsLeaveDescriptorsForTheRest() throws Exception {
+        int most = 256;
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        Path file = Files.createTempFile("mothcross", ".json");
+        List<Socket> idle = new ArrayList<>();
+        parties.put("bulletin", Outside.listening("refused", "bulletin", 99));
+        parties.put("n1", Outside.listening("node", "cache", 1));
+        Files.writeString(file, Outside.told(Map.of("sockets", Integer.toString(most), "memory", "64"), parties));
+        ProcessBuilder b = Outside.builder("serve", "--config", file.toString());
+        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + most + "; exec \"$@\"", "sh"));
+        command.addAll(b.command());
+        Process p = b.command(command).start();
+        try {
+            String line = p.errorReader().readLine();
+            while (!line.contains(" serves on ")) line = p.errorReader().readLine();
+            int port = Integer.parseInt(line.replaceAll(".*:", ""));
+            for (int i = 0; i < 2 * most; i++) {
+                Socket s = new Socket();
+                idle.add(s);
+                s.connect(new InetSocketAddress(here, port), 5000);
+            }
+            Outside n1 = parties.get("n1");
+            Thread node = new Thread(() -> {
+                try {
+                    while (true) n1.write(n1.read().split(" ")[1] + " DONE n=mem 2|ok|", false);
+                } catch (IOException e) {
+                    return;                                 // the director has ended
+                }
+            });
+            node.setDaemon(true);
+            node.start();
+            assertTrue(answer(port, "GET /-/healthy HTTP/1.1||").startsWith("HTTP/1.1 200 "));
+            assertTrue(answer(port, String.format(ASK, 10, 10, 2900)).endsWith("||ok"));
+            try (ServerSocket back = new ServerSocket()) {
+                back.setReuseAddress(true);
+                back.bind(new InetSocketAddress(here, parties.get("bulletin").port()));
+                back.setSoTimeout(8000);
+                assertEquals(back.accept().getInputStream().readNBytes(8)[7], 2, "it asks from the last event");
+            }
+            p.destroy();
+            assertEquals(p.waitFor(), 0);
+        } finally {
+            p.destroyForcibly();
+            for (Socket s : idle) s.close();
+            release(null);
+        }
+    }
+}
