What crosses an end resets nothing: forced behind an answer and on a resting connection

EndingsTest.whatCrossesAnEndResetsNothing holds the desk's lock while the bytes come in unread and our side ends; it fails without the half-close.

--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -88,6 +88,40 @@
         }
     }
 
+    /**
+     * Bytes that are there unread when our side ends, behind an answer and on a connection that rests: a close would
+     * reset both, and take the answer with it. They are read and not sent on.
+     */
+    @Test(timeOut = 30_000) public void whatCrossesAnEndResetsNothing() throws Exception {
+        Life life = null;
+        try {
+            life = life("node", Map.of());
+            Outside asked = client("asked", life), rests = client("rests", life), b = client("b", life);
+            for (Outside c : List.of(rests, b)) {
+                c.write("GET /-/healthy HTTP/1.1||", false);
+                assertTrue(c.read().startsWith("HTTP/1.1 200 "));
+            }
+            asked.write("GET /api/v2/books/0a HTTP/1.1|Req-Id: 000000000000000a|Connection: close||", false);
+            assertTrue(parties.get("n1").read().startsWith("want 000000000000000a "));
+            Desk d = life.desk();
+            d.enter();
+            try {
+                b.write("GET /-/healthy HTTP/1.1||", false);    // the one thread that reads now waits for the lock
+                Fleet.until("it waits", d.lock::hasQueuedThreads);
+                for (Outside c : List.of(asked, rests)) c.write(String.format(ASK, 11, c == asked ? 11 : 12, 2900), false);
+                d.endResting();
+                d.endAll();
+            } finally {
+                d.leave();
+            }
+            assertTrue(asked.read().startsWith("HTTP/1.1 503 "));
+            for (Outside c : List.of(asked, rests)) assertTrue(c.ends(), "reset");
+            assertEquals(counters(life).lookups, 1, "what crossed is not taken");
+        } finally {
+            release(life);
+        }
+    }
+
     private static Counters counters(Life life) {
         life.desk().enter();
         try {
