Directors that start along with cold nodes keep to their sum: the phase waits for the first mean

Cause: ColdBudgets.startsAt drew the purse's phase as a part of the largest mean, which is 0 in a director that has just started; so all had one request to spend at once. Change: the phase is drawn as a part of one request and taken off when the first mean is known.

--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -315,6 +315,7 @@
         double units, startedAt, asideUntil;
         boolean named;                   // in the full list being read
         double purse, purseAt;           // cold budget left, ms of sending
+        double phase;                    // part of a lookup that is still to be taken off it
         double carried, carriedAt;       // own work lately put on it, as flows
         double bears, busy = 1;          // the part of its link that such work shows; share of it in use
         Link link;
@@ -468,7 +469,7 @@
                 if (care == IN_TIME && !n.link.inTime(l)) continue;
                 if (!(asSource ? gate.mayFillFrom(n) : gate.mayReach(l, n))) continue;
                 double u = ((mix(n.hash ^ hashed) >>> 11) + 0.5) * 0x1p-53, score = -n.units / Math.log(u);
-                // Guards against an old list: what may be gone is ranked behind all that is known to be there.
+                // Guards against an old list: what may be gone is ranked behind all that is known there.
                 boolean known = n.standing == IN_SERVICE;
                 if (known == sure && score <= top || sure && !known) continue;
                 top = score;
@@ -617,7 +618,8 @@
 
         void startsAt(Node n, double at) {
             n.startedAt = at;
-            n.purse = -chance.nextDouble() * Arrays.stream(meanMs).max().getAsDouble();
+            n.phase = chance.nextDouble();
+            n.purse = 0;
             n.purseAt = now;
         }
 
@@ -628,13 +630,15 @@
 
         boolean affords(Node n) {
             if (!isCold(n)) return true;
-            // Guards against a start that nobody told: an unsure node may have started at any moment up to now.
+            // Guards against a start that nobody told: an unsure node may have started only now.
             double warmth = n.standing == UNSURE ? 0 : Math.max(0, now - n.startedAt) / terms.warmMs();
             double share = terms.floor() + (1 - terms.floor()) * warmth;
             double flows = MARGIN * terms.breaksAt() * share * link(n);
-            n.purse += flows * (now - n.purseAt);
-            n.purseAt = now;
             double most = SAVED * flows * terms.spanMs(), whole = Arrays.stream(meanMs).max().getAsDouble();
+            // Guards against directors that start along with it, and know only now how much a lookup is.
+            n.purse += flows * (now - n.purseAt) - n.phase * whole;
+            n.purseAt = now;
+            if (whole > 0) n.phase = 0;
             if (n.purse > most && whole > 0) n.purse -= whole * Math.ceil((n.purse - most) / whole);
             return n.purse > 0;
         }
@@ -750,7 +754,7 @@
             if (fresh > 0 && source != n && !coldOf(source).isCold(source)) how |= DecisionWriter.RENEW;
             if (h.heldOnly) how |= DecisionWriter.SOURCE_HOLDS_ONLY;
             // Guards against a slow refill after a purge or a start: c is tuned for a full cache. And against
-            // one that never comes: what an origin held back still gives is passed through, and asked for again.
+            // one that never comes: what an origin held back still gives, passed through, is asked for again.
             boolean refill = bound < Double.POSITIVE_INFINITY || coldOf(n).isCold(n) || behind.isHeldBack();
             int rank = refill && !l.passing ? Admission.MIDDLE_RANK : l.rank;
             if (n.tier == Node.ORIGIN) out.look(l.index, n.index, until);     // it holds all, always fresh
