A write under way when a connection is ended from here may have run, and is not sent again

Seen by reading: a silent or spoilt connection is ended from the timer's thread (quiet, patience) while the socket's thread may be writing to it; the library writes what it holds before it removes the session. NodeConnection.endAll took every write that was not reported done for one that never left, so a request that must not run twice could be sent again. Change: only a write that has failed never ran. Seldom too careful: such a request is given up (or asked again within its window), where a moment later it could have been sent again.

--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -318,7 +318,9 @@
         for (Hop h : hops) {
             if (first == null) first = h;
             if (h != first && !nodeSilent) h.note = Director.ALONG;
-            boolean ran = h.written != null && h.written.isWritten();
+            // Guards against an end from here while the write is being made: it may leave after this. Only a write that
+            // has failed never ran.
+            boolean ran = h.written != null && (h.written.isWritten() || !h.written.isDone());
             desk.end(h, ran ? Director.BROKEN : Director.UNREACHED);
         }
         hops.clear();
--- a/src/test/java/mothcross/net/DrainPathsTest.java
+++ b/src/test/java/mothcross/net/DrainPathsTest.java
@@ -132,10 +132,47 @@
         }
     }
 
+    /**
+     * A silent node's connection is ended from here, while one request's bytes are with the system in part: that one may
+     * have run, for all that is known here, and is not sent again; those that had not begun are.
+     */
+    @Test(timeOut = 60_000) public void whatHadBegunToLeaveMayHaveRun() throws Exception {
+        Map<String, Outside> parties = new TreeMap<>(Map.of("bulletin", Outside.listening("node", "bulletin", 99),
+            "n1", Outside.listening("tight", "cache", 1)));
+        for (int i = 0; i < 60; i++) parties.put("x" + i, Outside.listening("refused", "parent", 100 + i));
+        Life life = told(Map.of("connect", "0.4", "sockets", "380", "streams", "1000", "effect", "unsafe", "probing",
+            "true"), parties, null);
+        List<Outside> clients = new ArrayList<>();
+        try {
+            life.begin();
+            for (int i = 0; i < 2 || waits(life) == 0; i++) {
+                if (i == 1) Fleet.until("the first is written", () -> waits(life) == 0);
+                Outside c = Outside.client("c" + i, life.port());
+                clients.add(c);
+                c.write(String.format(ASK, i, i + 1, 16_000, "z".repeat(16_000)), false);
+                int asked = i + 1;
+                Fleet.until("asked", () -> life.desk().openLookups() == asked || waits(life) > 0);
+            }
+            int waiting = waits(life), asked = clients.size();
+            Fleet.until("the silent node's connection is ended", () -> ends(life, mothcross.Director.BROKEN) > 0);
+            assertEquals(ends(life, mothcross.Director.BROKEN), asked - waiting, "begun, and may have run");
+            Fleet.until("all have their answer", () -> life.desk().openLookups() <= waiting);
+            assertEquals(life.desk().count.givenUp, asked - waiting);
+        } finally {
+            life.release();
+            for (Outside o : clients) o.release();
+            for (Outside o : parties.values()) o.release();
+        }
+    }
+
     private static long notSent(Life life) {
+        return ends(life, mothcross.Director.NOT_SENT);
+    }
+
+    private static long ends(Life life, int how) {
         life.desk().enter();
         try {
-            return life.desk().count.ends[mothcross.Director.NOT_SENT];
+            return life.desk().count.ends[how];
         } finally {
             life.desk().leave();
         }
