Watches that move, stop within a list or lose their place; tests that forced nothing are replaced

The stand-in for discovery holds its port in both.

Found to need no mend: descriptors filled by idle clients while discovery is down.

--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -7,12 +7,13 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.*;
+import java.util.concurrent.atomic.AtomicBoolean;
 import mothcross.net.ServeTest.Outside;
+import mothcross.standin.Discovery;
 import org.testng.annotations.Test;
 
 /** The instants in which something ends and something is still owed, or is owed no more. */
@@ -147,6 +148,47 @@
         }
     }
 
+    /** It says again and again that nothing is new, after an event that never came: that event is asked for. */
+    @Test(timeOut = 30_000) public void aWatchThatHasLostItsPlaceIsMadeAnew() throws Exception {
+        Life life = null;
+        try {
+            life = life("node", Map.of());
+            Outside bulletin = parties.get("bulletin");
+            assertEquals(bulletin.read(), "2");
+            bulletin.write("00000009 0000000000000002 00", false);
+            trickle(bulletin, "00000009 0000000000000003 00");
+            bulletin.close(false);
+            assertEquals(bulletin.read(), "2", "it asks for what never came");
+        } finally {
+            release(life);
+        }
+    }
+
+    /** SIGHUP names an address where nobody listens yet: it is asked until somebody does, from the same number on. */
+    @Test(timeOut = 30_000) public void aWatchMovesToWhereNobodyListensYet() throws Exception {
+        Life life = null;
+        try (Discovery next = new Discovery()) {
+            life = life("node", Map.of());
+            Outside old = parties.get("bulletin"), n1 = parties.get("n1"), a = client("a", life);
+            assertEquals(old.read(), "2");
+            String told = Outside.told(Map.of("bulletin", Integer.toString(next.port())), parties);
+            life.reload(Start.of(JsonParser.parseString(told).getAsJsonObject(), null, true, 0));
+            assertTrue(old.gone());
+            next.numbersFrom(3);
+            next.open();
+            next.purge(17, System.currentTimeMillis());
+            for (int i = 1, known = 0; known == 0; i++) {
+                a.write("GET /api/v2/books/0a HTTP/1.1|X-Lot: 17|Req-Id: " + String.format("%016x", i) + "||", false);
+                String want = n1.read();
+                if (want.contains(",fresh=")) known = i;
+                n1.write(want.split(" ")[1] + " DONE n=mem 2|ok|", false);
+                assertTrue(a.read().endsWith("||ok"));
+            }
+        } finally {
+            release(life);
+        }
+    }
+
     /** A line that trickles, and an answer that trickles after its time, hold nobody up behind them for ever. */
     @Test(timeOut = 30_000) public void anAnswerThatNeverEndsIsEnded() throws Exception {
         for (String begun : List.of("000000000000000a DO", "000000000000000a DONE n=mem 200000|")) {
@@ -209,9 +251,11 @@
         InetAddress here = InetAddress.getByName("127.0.0.1");
         Path file = Files.createTempFile("mothcross", ".json");
         List<Socket> idle = new ArrayList<>();
-        parties.put("bulletin", Outside.listening("refused", "bulletin", 99));
+        AtomicBoolean purged = new AtomicBoolean();
+        Discovery back = new Discovery();
         parties.put("n1", Outside.listening("node", "cache", 1));
-        Files.writeString(file, Outside.told(Map.of("sockets", Integer.toString(most), "memory", "64"), parties));
+        Files.writeString(file, Outside.told(Map.of("sockets", Integer.toString(most), "memory", "64", "bulletin",
+            Integer.toString(back.port())), parties));
         ProcessBuilder b = Outside.builder("serve", "--config", file.toString());
         List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + most + "; exec \"$@\"", "sh"));
         command.addAll(b.command());
@@ -228,7 +272,11 @@
             Outside n1 = parties.get("n1");
             Thread node = new Thread(() -> {
                 try {
-                    while (true) n1.write(n1.read().split(" ")[1] + " DONE n=mem 2|ok|", false);
+                    while (true) {
+                        String want = n1.read();
+                        if (want.contains(",fresh=")) purged.set(true);
+                        n1.write(want.split(" ")[1] + " DONE n=mem 2|ok|", false);
+                    }
                 } catch (IOException e) {
                     return;                                 // the director has ended
                 }
@@ -237,17 +285,18 @@
             node.start();
             assertTrue(answer(port, "GET /-/healthy HTTP/1.1||").startsWith("HTTP/1.1 200 "));
             assertTrue(answer(port, String.format(ASK, 10, 10, 2900)).endsWith("||ok"));
-            try (ServerSocket back = new ServerSocket()) {
-                back.setReuseAddress(true);
-                back.bind(new InetSocketAddress(here, parties.get("bulletin").port()));
-                back.setSoTimeout(8000);
-                assertEquals(back.accept().getInputStream().readNBytes(8)[7], 2, "it asks from the last event");
+            back.numbersFrom(3);
+            back.open();
+            back.purge(17, System.currentTimeMillis());
+            for (int i = 11; !purged.get(); i++) {
+                answer(port, String.format(ASK, 10, i, 2900).replace("||", "|X-Lot: 17||"));
             }
             p.destroy();
             assertEquals(p.waitFor(), 0);
         } finally {
             p.destroyForcibly();
             for (Socket s : idle) s.close();
+            back.close();
             release(null);
         }
     }
--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -484,7 +484,7 @@
             }
             Map<String, String> all = new TreeMap<>(start);
             all.put("list", list.toString());
-            all.put("bulletin", Integer.toString(parties.get("bulletin").port()));
+            if (!start.containsKey("bulletin")) all.put("bulletin", Integer.toString(parties.get("bulletin").port()));
             String text = Files.readString(Path.of(ServeTest.class.getResource("/told.json").toURI()));
             return Pattern.compile("\\$\\{(\\w+)=?([^}]*)}").matcher(text)
                 .replaceAll(m -> all.getOrDefault(m.group(1), m.group(2)));
