--- a/src/main/java/mothcross/net/Bulletin.java
+++ b/src/main/java/mothcross/net/Bulletin.java
@@ -174,8 +174,8 @@
         feed = null;
         news.silent(why);
         if (++failedToSpeak >= TRIES_TO_SPEAK) spoken.countDown();
-        desk.bells.set(new Bells.Bell() {
-            @Override void ring() {
+        desk.timers.set(new Timers.Timer() {
+            @Override void fire() {
                 follow();
             }
         }, desk.clock() + waitMs);
@@ -202,12 +202,12 @@
         }
 
         /**
-         * One bell for the whole life of the connection: it looks whether a frame came lately. Bytes are no news: half
+         * One timer for the whole life of the connection: it looks whether a frame came lately. Bytes are no news: half
          * a frame that trickles would keep a watch that tells nothing.
          */
         private void watch() {
-            desk.bells.set(new Bells.Bell() {
-                @Override void ring() {
+            desk.timers.set(new Timers.Timer() {
+                @Override void fire() {
                     if (feed != Feed.this) return;
                     if (desk.clock() < wholeAt + patience()) {
                         watch();
--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -63,8 +63,8 @@
     private byte[] address;
 
     /** The one time that the connection waits for while no lookup is open on it. */
-    private final Bells.Bell patience = new Bells.Bell() {
-        @Override void ring() {
+    private final Timers.Timer patience = new Timers.Timer() {
+        @Override void fire() {
             if (lookup != null || state == State.FLUSHING) return;
             if (state != State.OPEN) {
                 end();
@@ -87,13 +87,13 @@
     @Override void opened() {
         idleSince = desk.clock();
         awaits = REST;
-        desk.bells.set(patience, idleSince + WHOLE_MS);
+        desk.timers.set(patience, idleSince + WHOLE_MS);
         desk.admit(this);
     }
 
     @Override void closed() {
         state = State.CLOSED;
-        desk.bells.cancel(patience);
+        desk.timers.cancel(patience);
         desk.gone(this);
         holds(0);
         if (lookup != null) {
@@ -133,7 +133,7 @@
         if (state != State.FLUSHING) return;
         state = State.LINGERING;
         Processor.shutdownOutput(session);
-        desk.bells.set(patience, desk.clock() + LINGER_MS);
+        desk.timers.set(patience, desk.clock() + LINGER_MS);
     }
 
     /** The process ends: where nothing is open or on its way in, the client is told to go; else after its answer. */
@@ -150,7 +150,7 @@
     /** What it asked may be here and not read yet, where the process had no core for a while: that is awaited. */
     void closeIfIdle() {
         suspected = true;
-        desk.bells.set(patience, desk.clock() + UNREAD_MS);
+        desk.timers.set(patience, desk.clock() + UNREAD_MS);
     }
 
     void goOn() {
@@ -172,7 +172,7 @@
             if (passedOver > MOST_PASSED_OVER) session.suspendRead();
         } else if (lookup != null) {
             awaits = NOTHING;
-            desk.bells.cancel(patience);
+            desk.timers.cancel(patience);
             // Reading goes on: a client that has gone shows itself only behind all that it has sent.
             int most = desk.holdsMuch() ? LONGEST_HEAD + LARGEST_BODY : MOST_AHEAD;
             if (left() > most) {
@@ -183,12 +183,12 @@
         } else if (cut) {
             shut();                                         // all that was whole has its answer
         } else if (left() > 0) {
-            if (awaits != REST) desk.bells.set(patience, desk.clock() + WHOLE_MS);
+            if (awaits != REST) desk.timers.set(patience, desk.clock() + WHOLE_MS);
             awaits = REST;
         } else if (awaits == NOTHING) {
             awaits = NEXT;
             idleSince = desk.clock();
-            desk.bells.set(patience, idleSince + IDLE_MS);
+            desk.timers.set(patience, idleSince + IDLE_MS);
         }
         holds(left());
     }
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -24,7 +24,7 @@
 
 /**
  * Where all sides meet. Owns the module and the one lock it runs under, the indices of lookups and nodes,
- * the bells, and the count of what is open; turns what comes in into calls on the module, and what the
+ * the timers, and the count of what is open; turns what comes in into calls on the module, and what the
  * module writes into hops and answers. Must never decide where a lookup goes, send what the module did not
  * write, answer a lookup twice, or call the module while it is at work.
  */
@@ -35,7 +35,7 @@
 
     final ReentrantLock lock = new ReentrantLock();
     final Counters count = new Counters();
-    final Bells bells;
+    final Timers timers;
     final Opening opening;
     final IoConnector connector;
     private final Director director;
@@ -72,7 +72,7 @@
         this.connector = connector;
         this.director = opening.director;
         this.mostHops = mostHops;
-        this.bells = new Bells(this);
+        this.timers = new Timers(this);
         this.answerTimes = new AnswerTimes(opening.all.length);
     }
 
@@ -156,7 +156,7 @@
         l.workload = workload;
         if (at >= lookups.length) lookups = Arrays.copyOf(lookups, 2 * lookups.length);
         lookups[at] = l;
-        bells.set(l, l.expires + BACKSTOP_MS);
+        timers.set(l, l.expires + BACKSTOP_MS);
         round(to -> to.lookup(at, workload, l.expires, l.object, part, l.group, sizeKb, repeat, false, by));
         return true;
     }
@@ -180,7 +180,7 @@
 
     /** Nobody waits any more: what has not been written is not sent, whether or not calling off is allowed. */
     private void ended(Lookup l) {
-        bells.cancel(l);
+        timers.cancel(l);
         open.remove(l.number, l);
         slots.over(l.index);
         ahead -= l.body.length;
@@ -303,7 +303,7 @@
             end(h, closing ? Director.NOT_SENT : Director.TIMED_OUT);
             return;
         }
-        bells.set(h, h.until);
+        timers.set(h, h.until);
         NodeConnection.send(this, h);
     }
 
@@ -347,7 +347,7 @@
         h.ended = true;
         h.outcome = outcome;
         h.on = null;
-        bells.cancel(h);
+        timers.cancel(h);
         h.node.hops--;
         h.source.hops--;
         count.ends[outcome]++;
@@ -485,8 +485,8 @@
     }
 
     @Override public void remind(double at, long name) {
-        bells.set(new Bells.Bell() {
-            @Override void ring() {
+        timers.set(new Timers.Timer() {
+            @Override void fire() {
                 round(to -> to.bell(name));
             }
         }, at);
--- a/src/main/java/mothcross/net/Hop.java
+++ b/src/main/java/mothcross/net/Hop.java
@@ -3,8 +3,8 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.WriteFuture;
 
-/** One hop of a lookup on its way: where it went, what it asks, how it ended. Rings at its time limit. */
-final class Hop extends Bells.Bell {
+/** One hop of a lookup on its way: where it went, what it asks, how it ended. Fires at its time limit. */
+final class Hop extends Timers.Timer {
     final Lookup lookup;
     final int number;
     final Node node, source;            // the source is the node itself where nothing is to be filled
@@ -35,7 +35,7 @@
         this.until = until;
     }
 
-    @Override void ring() {
+    @Override void fire() {
         if (!ended) lookup.client.desk.ranOut(this);
     }
 }
--- a/src/main/java/mothcross/net/Life.java
+++ b/src/main/java/mothcross/net/Life.java
@@ -26,7 +26,7 @@
 /**
  * A director's life: it starts on what it is told, listens, gets ready, serves, and after SIGTERM answers
  * what it has taken and ends. Owns the threads (one for all sockets, one each that accepts and connects, one
- * for bells) and the order of start and end. Must never touch a node before a lookup asks for one, and never
+ * for timers) and the order of start and end. Must never touch a node before a lookup asks for one, and never
  * say that it is ready before it is.
  */
 public final class Life {
@@ -119,7 +119,7 @@
             c.setWriteTimeout(10);
         }
         acceptor.getSessionConfig().setMaxReadBufferSize(CLIENT_READ);
-        // The desk's bell rings sooner.
+        // The desk's timer fires sooner.
         connector.setConnectTimeoutMillis((long) start.opening.connectMs + 1000);
     }
 
@@ -141,9 +141,9 @@
         } finally {
             desk.leave();
         }
-        Thread bells = new Thread(desk.bells, "bells");
-        bells.setDaemon(true);
-        bells.start();
+        Thread timers = new Thread(desk.timers, "timers");
+        timers.setDaemon(true);
+        timers.start();
         desk.locked(bulletin::follow);
         awaitNews();
         acceptor.bind(start.listen);
@@ -276,8 +276,8 @@
     }
 
     private void counters() {
-        desk.bells.set(new Bells.Bell() {
-            @Override void ring() {
+        desk.timers.set(new Timers.Timer() {
+            @Override void fire() {
                 log();
                 counters();
             }
@@ -286,9 +286,9 @@
 
     private void log() {
         Runtime r = Runtime.getRuntime();
-        LOG.info("{}{}; open {}, clients {}, nodes {}, bells {}, heap {} MB", desk.count.line(),
+        LOG.info("{}{}; open {}, clients {}, nodes {}, timers {}, heap {} MB", desk.count.line(),
             (remembered == null ? "" : remembered.line()) + (desk.rules == null ? "" : desk.rules.line()),
-            desk.openLookups(), desk.clients(), desk.nodes.size(), desk.bells.size(),
+            desk.openLookups(), desk.clients(), desk.nodes.size(), desk.timers.size(),
             (r.totalMemory() - r.freeMemory()) >> 20);
     }
 
@@ -301,8 +301,8 @@
             desk.ready = false;
             desk.draining = true;
             ending.begins(desk.clock(), longest);
-            desk.bells.set(new Bells.Bell() {
-                @Override void ring() {
+            desk.timers.set(new Timers.Timer() {
+                @Override void fire() {
                     desk.endAll();
                 }
             }, ending.answeredBy());
@@ -330,7 +330,7 @@
             log();
         });
         if (remembered != null) remembered.end(LAST_WRITE_MS);
-        desk.locked(desk.bells::stop);
+        desk.locked(desk.timers::stop);
         over.countDown();
     }
 
@@ -339,7 +339,7 @@
         if (remembered != null) remembered.kill();
         desk.locked(() -> {
             bulletin.stop();
-            desk.bells.stop();
+            desk.timers.stop();
         });
         acceptor.dispose(false);
         connector.dispose(false);
--- a/src/main/java/mothcross/net/Lookup.java
+++ b/src/main/java/mothcross/net/Lookup.java
@@ -2,9 +2,9 @@
 
 /**
  * A lookup that a client has asked and that is owed an answer, as the desk keeps it: what its hops must
- * carry on unchanged, and the bell that rings when its time is up. Must never outlive its last hop.
+ * carry on unchanged, and the timer that fires when its time is up. Must never outlive its last hop.
  */
-final class Lookup extends Bells.Bell {
+final class Lookup extends Timers.Timer {
     final ClientConnection client;
     final byte[] id;                    // as it came, 16 hex digits
     final long number;                  // the same as a number
@@ -48,7 +48,7 @@
         return hopCount;
     }
 
-    @Override void ring() {
+    @Override void fire() {
         client.desk.timeIsUp(this);
     }
 }
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -56,11 +56,11 @@
      * waits for any more has until its hop's time was up, or that long. Else what is here is spoilt: one that never ends
      * would hold up for ever what comes behind it.
      */
-    private final Bells.Bell patience = new Bells.Bell() {
-        @Override void ring() {
+    private final Timers.Timer patience = new Timers.Timer() {
+        @Override void fire() {
             if (ended) return;
             if (suspected) malformed("stalls within an answer");
-            else desk.bells.set(this, desk.clock() + UNREAD_MS);    // it may have come, and not been read yet
+            else desk.timers.set(this, desk.clock() + UNREAD_MS);    // it may have come, and not been read yet
             suspected = true;
         }
     };
@@ -70,8 +70,8 @@
      * answered either, the connection is as good as ended: its machine has vanished, or is cut off, or never took up
      * what it got. Each word that it is there makes the next question come later.
      */
-    private final Bells.Bell quiet = new Bells.Bell() {
-        @Override void ring() {
+    private final Timers.Timer quiet = new Timers.Timer() {
+        @Override void fire() {
             if (ended || out.isEmpty()) {
                 doubts = 0;
                 return;
@@ -87,9 +87,9 @@
                     wrongly++;
                     session.write(IoBuffer.wrap(Bytes.of("there l" + probeCount++ + "\r\n")));
                 }
-                desk.bells.set(this, doubtful ? now + step : Math.max(now + step, since + unusual));
+                desk.timers.set(this, doubtful ? now + step : Math.max(now + step, since + unusual));
             } else if (doubts++ == 1) {
-                desk.bells.set(this, now + UNREAD_MS);
+                desk.timers.set(this, now + UNREAD_MS);
             } else {
                 desk.count.silent++;
                 LOG.debug("{} says nothing, {} hops are out", node.id, out.size());
@@ -101,8 +101,8 @@
     };
 
     /** Not up in time counts as not reached. */
-    private final Bells.Bell notUp = new Bells.Bell() {
-        @Override void ring() {
+    private final Timers.Timer notUp = new Timers.Timer() {
+        @Override void fire() {
             if (up || ended) return;
             connecting.cancel();
             closed();
@@ -110,7 +110,7 @@
     };
 
     /** A question about the node itself. */
-    private final class Probe extends Bells.Bell {
+    private final class Probe extends Timers.Timer {
         final double askedAt = desk.clock();
         final String tag;
 
@@ -118,12 +118,12 @@
             this.tag = tag;
         }
 
-        @Override void ring() {
+        @Override void fire() {
             finish(Director.TIMED_OUT, null);
         }
 
         void finish(int outcome, double[] report) {
-            desk.bells.cancel(this);
+            desk.timers.cancel(this);
             if (probes.remove(tag) != null) desk.probeEnded(node, outcome, desk.clock() - askedAt, report);
         }
     }
@@ -134,7 +134,7 @@
         node.connections.add(this);
         desk.connections.add(this);
         desk.count.connects++;
-        desk.bells.set(notUp, desk.clock() + desk.opening.connectMs);
+        desk.timers.set(notUp, desk.clock() + desk.opening.connectMs);
         connecting = desk.connector.connect(node.address, (session, future) -> bind(session));
         connecting.addListener(f -> {
             if (connecting.getException() != null || connecting.isCanceled()) desk.locked(this::closed);
@@ -202,7 +202,7 @@
         NodeConnection c = to(desk, node);
         Probe p = c.new Probe("p" + c.probeCount++);
         c.probes.put(p.tag, p);
-        desk.bells.set(p, desk.clock() + desk.opening.connectMs);
+        desk.timers.set(p, desk.clock() + desk.opening.connectMs);
         if (c.up) c.writeProbe(p);
     }
 
@@ -230,7 +230,7 @@
         IoBuffer b = IoBuffer.allocate(WANT.length + 1 + length + END_OF_LINE.length);
         b.put(WANT).put(l.id).put((byte) ' ').put(l.asked).put(orders).put(l.body).put(END_OF_LINE).flip();
         h.writtenAt = usedAt = now;
-        if (out.isEmpty()) desk.bells.set(quiet, now + desk.opening.connectMs / 2);
+        if (out.isEmpty()) desk.timers.set(quiet, now + desk.opening.connectMs / 2);
         out.put(l.number, h);
         handed = h;
         h.written = session.write(b);
@@ -284,7 +284,7 @@
         }
         up = true;
         desk.count.up++;
-        desk.bells.cancel(notUp);
+        desk.timers.cancel(notUp);
         flow();
         for (Probe p : probes.values()) writeProbe(p);
         usedAt = desk.clock();
@@ -296,15 +296,15 @@
         ended = true;
         desk.connections.remove(this);
         node.connections.remove(this);
-        desk.bells.cancel(patience);
-        desk.bells.cancel(notUp);
-        desk.bells.cancel(quiet);
+        desk.timers.cancel(patience);
+        desk.timers.cancel(notUp);
+        desk.timers.cancel(quiet);
         endAll(waiting, null);
         endAll(out.values(), bodyFor);
         int outcome = up ? Director.BROKEN : Director.UNREACHED;
         for (Probe p : probes.values()) {
-            desk.bells.set(new Bells.Bell() {              // not at once: the module may be at work
-                @Override void ring() {
+            desk.timers.set(new Timers.Timer() {              // not at once: the module may be at work
+                @Override void fire() {
                     p.finish(outcome, null);
                 }
             }, desk.clock());
@@ -334,7 +334,7 @@
         answers();
         if (ended) return;
         if (left() == 0 && bodyLeft < 0) {
-            desk.bells.cancel(patience);
+            desk.timers.cancel(patience);
             timed = NOTHING_BEGUN;
         } else if (begun != timed || bodyFor != null) {
             times(heardAt + desk.opening.connectMs);        // what trickles within a line gets no more time for it
@@ -345,7 +345,7 @@
     private void times(double by) {
         timed = begun;
         suspected = false;
-        desk.bells.set(patience, by);
+        desk.timers.set(patience, by);
     }
 
     private void answers() {
--- a/src/main/java/mothcross/net/Remembered.java
+++ b/src/main/java/mothcross/net/Remembered.java
@@ -121,8 +121,8 @@
     }
 
     private void tick() {
-        desk.bells.set(new Bells.Bell() {
-            @Override void ring() {
+        desk.timers.set(new Timers.Timer() {
+            @Override void fire() {
                 desk.round(to -> {
                     membership.ticks(now());
                     flush(to);
@@ -290,8 +290,8 @@
 
     // ---- the disk ----
 
-    private final Bells.Bell due = new Bells.Bell() {
-        @Override void ring() {
+    private final Timers.Timer due = new Timers.Timer() {
+        @Override void fire() {
             writeWhenDue(now());
         }
     };
@@ -300,10 +300,10 @@
         double at = plan.due();
         if (!writes || at == Double.POSITIVE_INFINITY) return;
         if (at > now) {
-            desk.bells.set(due, desk.clock() + at - now);
+            desk.timers.set(due, desk.clock() + at - now);
             return;
         }
-        desk.bells.cancel(due);
+        desk.timers.cancel(due);
         plan.begins(now);
         Kept kept = membership.kept(fleet, director, Math.max(now, System.currentTimeMillis()));
         synchronized (this) {
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -126,7 +126,7 @@
 
     /** The timers' thread may wait for the lock as well; the other one reads. */
     private static boolean waits(Desk d) {
-        return Thread.getAllStackTraces().keySet().stream().anyMatch(t -> !t.getName().equals("bells")
+        return Thread.getAllStackTraces().keySet().stream().anyMatch(t -> !t.getName().equals("timers")
             && d.lock.hasQueuedThread(t));
     }
 
--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -36,7 +36,7 @@
  * {@code @F} for a number that is filled in. First {@code start KEY=VALUE}, {@code node NAME KIND},
  * {@code refused NAME KIND} (nothing listens there) and {@code mute NAME KIND} (connections never come
  * up), {@code narrow NAME KIND} (until it is told to {@code fill} its queue); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes}
- * and {@code bells}: how many are held). No step waits for a time: each reads until what it names has come,
+ * and {@code timers}: how many are held). No step waits for a time: each reads until what it names has come,
  * or fails after some seconds.
  */
 public class ServeTest {
@@ -173,7 +173,7 @@
             try {
                 Counters c = life.desk().count;
                 if (name.equals("nodes")) return life.desk().nodes.size();
-                if (name.equals("bells")) return life.desk().bells.size();
+                if (name.equals("timers")) return life.desk().timers.size();
                 return name.startsWith("end") ? c.ends[name.charAt(3) - '0']
                     : Counters.class.getDeclaredField(name).getLong(c);
             } finally {
