--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -16,15 +16,15 @@
  *
  * <p>How it ends, whichever side begins:
  * <pre>
- * state       what holds                                                   left
- * OPEN        requests are read and answered, in their order               a last answer: FLUSHING; idle too long, or the
- *                                                                          process ends and nothing is open: LINGERING
- * FLUSHING    the last answer is on its way, nothing more is taken         all of it is with the system: LINGERING
- * LINGERING   our side is shut; what still comes is read and thrown away,  LINGER_MS: CLOSED
- *             since a close over unread bytes would reset the connection
- *             and take the answer with it
- * CLOSED      the client has closed or reset (from any state), or was put
- *             out to make room; an open lookup's client is gone
+ * state       what holds                                             left
+ * OPEN        requests are read and answered, in their order         a last answer: FLUSHING; idle too long, or the
+ *                                                                    process ends and nothing is open: LINGERING
+ * FLUSHING    the last answer is on its way, nothing more is taken   all of it is with the system: LINGERING
+ * LINGERING   our side is shut; what still comes is read and thrown  LINGER_MS: CLOSED
+ *             away, since a close over unread bytes would reset the
+ *             connection and take the answer with it
+ * CLOSED      the client has closed or reset (from any state), or
+ *             was put out to make room; an open request is over
  * </pre>
  */
 final class ClientConnection extends Connection {
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -39,7 +39,8 @@
     String line() {
         StringBuilder s = new StringBuilder("lookups ").append(lookups).append(", handled ").append(handled)
             .append(" (unchanged ").append(unchanged).append("), bounced ").append(bounced)
-            .append(", given up ").append(givenUp).append(", left ").append(left).append(" (unread ").append(leftUnread).append("); hops ")
+            .append(", given up ").append(givenUp).append(", left ").append(left)
+            .append(" (unread ").append(leftUnread).append("); hops ")
             .append(hops).append(':');
         for (int i = 0; i < ends.length; i++) {
             if (ends[i] > 0) s.append(' ').append(END[i]).append(' ').append(ends[i]);
--- a/src/main/java/mothcross/net/Ending.java
+++ b/src/main/java/mothcross/net/Ending.java
@@ -4,12 +4,13 @@
  * The end of a director's process as states; time is passed in. Owns when each begins; must never end one while an
  * answer is owed and there is time for it.
  * <pre>
- * state     what holds                                                     left
- * SERVING   clients are taken, /-/healthy says ready                       told to end: DRAINING
- * DRAINING  /-/healthy says no; what comes is taken and answered, and      nothing can come any more (the protocol page's
- *           every answer ends its connection                               time) and nobody waits to be taken: CLOSING
- * CLOSING   nothing listens; who rests finds our side shut, who has asked  no client is left, or the bound: OUT
- *           is answered; past answeredBy what is open is given up at once
+ * state     what holds                                              left
+ * SERVING   clients are taken, /-/healthy says ready                told to end: DRAINING
+ * DRAINING  /-/healthy says no; what comes is taken and answered,   nothing can come any more (the protocol page's
+ *           and every answer ends its connection                    time) and nobody waits to be taken: CLOSING
+ * CLOSING   nothing listens; who rests finds our side shut, who     no client is left, or the bound: OUT
+ *           has asked is answered; past answeredBy what is open
+ *           is given up at once
  * OUT       the process may go: nothing is owed
  * </pre>
  */
@@ -17,7 +18,7 @@
     enum State { SERVING, DRAINING, CLOSING, OUT }
 
     // The protocol page's figures for a planned restart: how long requests may still come, the longest deadline that
-    // is waited for, how long nobody has to have come for none to be waiting. MARGIN: what is left for the last answers.
+    // is waited for, how long nobody has to have come for none to be waiting. MARGIN: the time of the last answers.
     static final double STILL_COMES_MS = 700, LONGEST_ANSWER_MS = 3000, MARGIN_MS = 150, QUIET_MS = 50;
 
     private State state = State.SERVING;
--- a/src/main/java/mothcross/net/Life.java
+++ b/src/main/java/mothcross/net/Life.java
@@ -292,7 +292,7 @@
             (r.totalMemory() - r.freeMemory()) >> 20);
     }
 
-    /** SIGTERM: goes on serving as long as requests may come, answers all that is open, then returns; see {@link Ending}. */
+    /** SIGTERM: serves as long as requests may come, answers all that is open, then returns: {@link Ending}. */
     public void end() throws InterruptedException {
         double longest = 0;
         for (Workload w : start.opening.all) longest = Math.max(longest, w.abandonMs());
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -52,9 +52,9 @@
     private int doubts, wrongly;                        // how often it was asked, and was there, since its last answer
 
     /**
-     * A line, and an answer's bytes from one to the next, may take the time that a connection may; an answer that nobody
-     * waits for any more has until its hop's time was up, or that long. Else what is here is spoilt: one that never ends
-     * would hold up for ever what comes behind it.
+     * A line, and an answer's bytes from one to the next, may take the time that a connection may; an answer that
+     * nobody waits for any more has until its hop's time was up, or that long. Else what is here is spoilt: one that
+     * never ends would hold up for ever what comes behind it.
      */
     private final Timers.Timer patience = new Timers.Timer() {
         @Override void fire() {
--- a/src/main/java/mothcross/net/Processor.java
+++ b/src/main/java/mothcross/net/Processor.java
@@ -28,7 +28,7 @@
         }
     }
 
-    /** The library reads until nothing more is there, and passes the bytes on before it tells of the end behind them. */
+    /** The library reads until nothing more is there, and passes the bytes on before it tells of the end after them. */
     @Override protected int read(NioSession session, IoBuffer into) throws Exception {
         int n = super.read(session, into);
         if (n < 0) session.setAttribute(END_OF_INPUT);
--- a/src/test/java/mothcross/ColdSumTest.java
+++ b/src/test/java/mothcross/ColdSumTest.java
@@ -7,8 +7,9 @@
 import org.testng.annotations.Test;
 
 /**
- * A whole fleet of directors, each knowing only its own traffic, and nodes that start cold: what all of them send one of
- * these together stays within its budget of N requests of mean work and what is put down to chance, 2 x root of N + 2.
+ * A whole fleet of directors, each knowing only its own traffic, and nodes that start cold: what all of them send one
+ * of these together stays within its budget of N requests of mean work and what is put down to chance, 2 x root of N
+ * + 2.
  * Histories are drawn: how many directors, how uneven their traffic, how wide the sizes, whether all directors have
  * just started themselves and know no mean. In virtual time, without sockets.
  */
@@ -59,11 +60,13 @@
                         used += n.all;
                         allowed += f.allowed(n);
                         worst = Math.max(worst, n.worst);
-                        if (n.worst > 1) over.append(String.format("%d directors, restarts %s, seed %d: node %d got %.2f%n",
-                            directors, restarts, seed, n.index, n.worst));
+                        if (n.worst > 1) over.append(String.format(
+                            "%d directors, restarts %s, seed %d: node %d got %.2f%n", directors, restarts, seed,
+                            n.index, n.worst));
                     }
                 }
-                System.out.printf("%d directors, restarts %s: %d attempts, most of its budget %.2f, in all %.2f of it%n",
+                System.out.printf(
+                    "%d directors, restarts %s: %d attempts, most of its budget %.2f, in all %.2f of it%n",
                     directors, restarts, sent, worst, used / allowed);
                 assertTrue(used / allowed > 0.1, "too careful: " + used / allowed);
             }
@@ -202,7 +205,8 @@
             while (n.lately.peek()[0] < now - span) n.work -= n.lately.poll()[1];
             double least = n.kind == 0 ? floor : floor / 2, times = n.kind == 0 ? factor : 2;
             double meanWork = 2 / (1 / mean[0] + 1 / mean[1]);
-            double bears = times * (least + (1 - least) * Math.min(1, (now - STARTS_AT) / warm)) * units * span / meanWork;
+            double warmth = Math.min(1, (now - STARTS_AT) / warm);
+            double bears = times * (least + (1 - least) * warmth) * units * span / meanWork;
             n.worst = Math.max(n.worst, n.work / meanWork / (bears + 2 * Math.sqrt(bears) + 2));
         }
 
--- a/src/test/java/mothcross/net/DrainPathsTest.java
+++ b/src/test/java/mothcross/net/DrainPathsTest.java
@@ -133,8 +133,8 @@
     }
 
     /**
-     * A silent node's connection is ended from here, while one request's bytes are with the system in part: that one may
-     * have run, for all that is known here, and is not sent again; those that had not begun are.
+     * A silent node's connection is ended from here, while one request's bytes are with the system in part: that one
+     * may have run, for all that is known here, and is not sent again; those that had not begun are.
      */
     @Test(timeOut = 60_000) public void whatHadBegunToLeaveMayHaveRun() throws Exception {
         Map<String, Outside> parties = new TreeMap<>(Map.of("bulletin", Outside.listening("node", "bulletin", 99),
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -25,8 +25,8 @@
     private Life life(String how, Map<String, String> start) throws Exception {
         parties.put("bulletin", Outside.listening(how, "bulletin", 99));
         parties.put("n1", Outside.listening("node", "cache", 1));
-        Life life = new Life(Start.of(JsonParser.parseString(Outside.told(start, parties)).getAsJsonObject(), null, true,
-            0));
+        String told = Outside.told(start, parties);
+        Life life = new Life(Start.of(JsonParser.parseString(told).getAsJsonObject(), null, true, 0));
         life.begin();
         return life;
     }
@@ -108,7 +108,8 @@
             try {
                 b.write("GET /-/healthy HTTP/1.1||", false);    // the one thread that reads now waits for the lock
                 Fleet.until("it waits", () -> waits(d));
-                for (Outside c : List.of(asked, rests)) c.write(String.format(ASK, 11, c == asked ? 11 : 12, 2900), false);
+                asked.write(String.format(ASK, 11, 11, 2900), false);
+                rests.write(String.format(ASK, 11, 12, 2900), false);
                 d.endResting();
                 d.endAll();
             } finally {
--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -28,16 +28,16 @@
 import org.testng.annotations.Test;
 
 /**
- * Plays the scenario files of the director on sockets: a real one on loopback, its clients, nodes and
- * bulletin by stand-ins. A line names one of them and what it does: {@code >} writes, {@code drip} writes
- * byte by byte, {@code <} reads one answer, command or number and matches it whole, {@code close},
- * {@code reset}, {@code gone} (the director must have ended the connection), {@code ends} (it must have ended without a reset),
- * {@code eof} (its side has ended, ours goes on). {@code |} stands for CR LF,
- * {@code @F} for a number that is filled in. First {@code start KEY=VALUE}, {@code node NAME KIND},
- * {@code refused NAME KIND} (nothing listens there) and {@code mute NAME KIND} (connections never come
- * up), {@code narrow NAME KIND} (until it is told to {@code fill} its queue); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes}
- * and {@code timers}: how many are held). No step waits for a time: each reads until what it names has come,
- * or fails after some seconds.
+ * Plays the scenario files of the director on sockets: a real one on loopback, its clients, nodes and bulletin by
+ * stand-ins. A line names one of them and what it does: {@code >} writes, {@code drip} writes byte by byte, {@code
+ * <} reads one answer, command or number and matches it whole, {@code close}, {@code reset}, {@code gone} (the
+ * director must have ended the connection), {@code ends} (it must have ended without a reset), {@code eof} (its
+ * side has ended, ours goes on). {@code |} stands for CR LF, {@code @F} for a number that is filled in. First
+ * {@code start KEY=VALUE}, {@code node NAME KIND}, {@code refused NAME KIND} (nothing listens there) and {@code
+ * mute NAME KIND} (connections never come up), {@code narrow NAME KIND} (until it is told to {@code fill} its
+ * queue); later {@code end} (as SIGTERM), {@code ended}, {@code probe}, {@code counter NAME N} ({@code nodes} and
+ * {@code timers}: how many are held). No step waits for a time: each reads until what it names has come, or fails
+ * after some seconds.
  */
 public class ServeTest {
     @DataProvider
@@ -340,7 +340,8 @@
             Outside o = new Outside(kind, index, 0);
             o.server = new ServerSocket();
             if (how.equals("tight")) o.server.setReceiveBufferSize(4096);       // little is taken that nobody reads
-            o.server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), how.matches("mute|narrow") ? 1 : 50);
+            o.server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0),
+                how.matches("mute|narrow") ? 1 : 50);
             o.server.setSoTimeout(PATIENCE_MS);
             if (how.equals("refused")) o.server.close();
             if (how.equals("mute")) o.fill();
