--- a/src/main/java/mothcross/Decide.java
+++ b/src/main/java/mothcross/Decide.java
@@ -140,7 +140,7 @@
             && l.w.effect() != Workload.Effect.ONCE_ONLY;
         if (h.err) l.errors++;
         boolean unasked = note == HIT || note == PAST_FRESH || note == JOINED || outcome == UNREACHED;
-        if (unasked) h.source.purse += h.sourceCharge;
+        if (unasked) h.source.tokens += h.sourceCharge;
         if (h.source != h.node && !unasked && !h.err && note != ALONG) {
             double bad = outcome != HANDLED || now > l.aim ? 1 : 0;
             fillsBad[l.workload] += 0.05 * (bad - fillsBad[l.workload]);
@@ -314,7 +314,7 @@
         long hash;
         double units, startedAt, asideUntil;
         boolean named;                   // in the full list being read
-        double purse, purseAt;           // cold budget left, ms of sending
+        double tokens, tokensAt;         // token bucket of the cold budget, ms of sending
         double phase;                    // part of a lookup that is still to be taken off it
         double carried, carriedAt;       // own work lately put on it, as flows
         double bears, busy = 1;          // the part of its link that such work shows; share of it in use
@@ -619,8 +619,8 @@
         void startsAt(Node n, double at) {
             n.startedAt = at;
             n.phase = chance.nextDouble();
-            n.purse = 0;
-            n.purseAt = now;
+            n.tokens = 0;
+            n.tokensAt = now;
         }
 
         boolean isCold(Node n) {
@@ -636,16 +636,16 @@
             double flows = MARGIN * terms.breaksAt() * share * link(n);
             double most = SAVED * flows * terms.spanMs(), whole = Arrays.stream(meanMs).max().getAsDouble();
             // Guards against directors that start along with it, and know only now how much a lookup is.
-            n.purse += flows * (now - n.purseAt) - n.phase * whole;
-            n.purseAt = now;
+            n.tokens += flows * (now - n.tokensAt) - n.phase * whole;
+            n.tokensAt = now;
             if (whole > 0) n.phase = 0;
-            if (n.purse > most && whole > 0) n.purse -= whole * Math.ceil((n.purse - most) / whole);
-            return n.purse > 0;
+            if (n.tokens > most && whole > 0) n.tokens -= whole * Math.ceil((n.tokens - most) / whole);
+            return n.tokens > 0;
         }
 
         double charge(Node n, double work) {
             if (!isCold(n)) return 0;
-            n.purse -= work;
+            n.tokens -= work;
             return work;
         }
 
--- a/src/test/java/mothcross/ColdSumTest.java
+++ b/src/test/java/mothcross/ColdSumTest.java
@@ -18,7 +18,7 @@
     private static final long[] ONCE_BROKEN = {21, 41, 5, 20, 35};
     private static final double PURGE_TAKES = 6000, STARTS_AT = 5000, WATCHED_MS = 12_000;
 
-    /** When directors start anew, with no mean and a purse of its own each time. */
+    /** When directors start anew, with no mean and a token bucket of its own each time. */
     private enum Restarts { NONE, WITH_THE_NODES, WHILE_COLD }
 
     private static final class Node {
