--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -99,7 +99,7 @@
         if (lookup != null) {
             Lookup l = lookup;
             lookup = null;
-            desk.left(l);
+            desk.cancelled(l);
         }
     }
 
@@ -160,7 +160,7 @@
     @Override void received() {
         if (state != State.OPEN) desk.count.crossed++;
         if (state == State.OPEN && lookup == null && Processor.endOfInput(session)) {
-            desk.count.leftUnread++;                        // it asked and went before that was read: nobody waits
+            desk.count.cancelledUnread++;                        // it asked and went before that was read: nobody waits
             state = State.CLOSED;
         }
         suspected = false;
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -9,9 +9,9 @@
  */
 final class Counters {
     private static final Logger LOG = LoggerFactory.getLogger(Counters.class);
-    long lookups, handled, unchanged, bounced, givenUp, left, hops, connects, up, probes, probesFit;
+    long lookups, handled, unchanged, bounced, givenUp, cancelled, hops, connects, up, probes, probesFit;
     long badHead, longHead, badPath, badField, badNode, badFrame, silent, slowReaders, crowded, idle, slowHead,
-        reloads, notCurrent, leftUnread, tooFarAhead, crossed;
+        reloads, notCurrent, cancelledUnread, tooFarAhead, crossed;
     /** What must never happen: asserted in tests and debug runs, counted here in release. */
     long faults, unanswered, broken;
     private static final int MOST_WARNINGS = 20;
@@ -39,8 +39,8 @@
     String line() {
         StringBuilder s = new StringBuilder("lookups ").append(lookups).append(", handled ").append(handled)
             .append(" (unchanged ").append(unchanged).append("), bounced ").append(bounced)
-            .append(", given up ").append(givenUp).append(", left ").append(left)
-            .append(" (unread ").append(leftUnread).append("); hops ")
+            .append(", given up ").append(givenUp).append(", cancelled ").append(cancelled)
+            .append(" (unread ").append(cancelledUnread).append("); hops ")
             .append(hops).append(':');
         for (int i = 0; i < ends.length; i++) {
             if (ends[i] > 0) s.append(' ').append(END[i]).append(' ').append(ends[i]);
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -196,9 +196,9 @@
         if (slots.release(l.index)) lookups[l.index] = null;
     }
 
-    void left(Lookup l) {
+    void cancelled(Lookup l) {
         if (isOver(l)) return;
-        count.left++;
+        count.cancelled++;
         ended(l);
         round(to -> to.clientLeft(l.index));
         release(l);
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -83,7 +83,7 @@
             b.write(String.format(ASK, 11, 11, 2900), false);
             String want = parties.get("n1").read();
             assertTrue(want.startsWith("want 000000000000000b "), want);
-            assertEquals(counters(life).leftUnread, 1);
+            assertEquals(counters(life).cancelledUnread, 1);
         } finally {
             release(life);
         }
