The bulletin's class is DiscoveryWatch, its log lines say discovery

The protocol's word stays where the told file is read (Start) and as the name of the stand-in's party in scenarios.

--- a/src/main/java/mothcross/cli/Main.java
+++ b/src/main/java/mothcross/cli/Main.java
@@ -216,7 +216,7 @@
                 if (s == null && both.features == null) {
                     return plainly("no configuration: give --config or set ROUTER_CONFIG, or --operators");
                 }
-                if (s != null) System.out.println(s.name + " listens on " + s.listen + ", bulletin " + s.bulletin
+                if (s != null) System.out.println(s.name + " listens on " + s.listen + ", discovery " + s.discovery
                     + ", workloads " + s.opening.workloads.keySet() + ", places " + s.opening.places
                     + ", kinds " + s.opening.kinds);
                 return 0;
--- a/src/main/java/mothcross/net/Desk.java
+++ b/src/main/java/mothcross/net/Desk.java
@@ -492,7 +492,7 @@
         }, at);
     }
 
-    /** The bulletin is followed from the start to the end. */
+    /** Discovery is followed from the start to the end. */
     @Override public void followList(boolean on) { }
 
     @Override public void say(String text) {
--- a/src/main/java/mothcross/net/Bulletin.java
+++ b/src/main/java/mothcross/net/DiscoveryWatch.java
@@ -25,13 +25,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * News of the list and of purges: what is known at the start, then the frames of the bulletin. Owns the
+ * News of the list and of purges: what is known at the start, then the frames of discovery. Owns the
  * number of the last event and the connection that brings the next; an end, a silence or a frame that can't
  * be used makes it connect anew from that number, each time a little later until frames come again. Must
  * never apply an event twice, skip one, or judge what an event means.
  */
-final class Bulletin {
-    private static final Logger LOG = LoggerFactory.getLogger(Bulletin.class);
+final class DiscoveryWatch {
+    private static final Logger LOG = LoggerFactory.getLogger(DiscoveryWatch.class);
     private static final double SILENCE_MS = 2000, FIRST_WAIT_MS = 50, LONGEST_WAIT_MS = 500;
     /** The protocol page's: a frame at least that often. */
     private static final double FRAME_EVERY_MS = 1000;
@@ -47,7 +47,7 @@
     /** Down once it has brought a frame since the start, or can't: what is known may be older than what was told. */
     private final CountDownLatch spoken = new CountDownLatch(1);
 
-    Bulletin(Desk desk, News news, InetSocketAddress address) {
+    DiscoveryWatch(Desk desk, News news, InetSocketAddress address) {
         this.desk = desk;
         this.news = news;
         this.address = address;
@@ -152,7 +152,7 @@
     /** Told of another address: the old one tells nothing more, the numbers go on. */
     void move(InetSocketAddress to) {
         if (to.equals(address) || stopped) return;
-        LOG.info("bulletin: moved from {} to {} at event {}", address, to, news.last());
+        LOG.info("discovery: moved from {} to {} at event {}", address, to, news.last());
         address = to;
         waitMs = FIRST_WAIT_MS;
         Feed old = feed;
@@ -169,7 +169,7 @@
     private void again(String why) {
         if (stopped) return;
         if (desk.count.mayWarn()) {
-            LOG.info("bulletin: {}; connecting again from event {} in {} ms", why, news.last(), (long) waitMs);
+            LOG.info("discovery: {}; connecting again from event {} in {} ms", why, news.last(), (long) waitMs);
         }
         feed = null;
         news.silent(why);
@@ -188,7 +188,7 @@
         private boolean up;
 
         Feed() {
-            super(Bulletin.this.desk);
+            super(DiscoveryWatch.this.desk);
         }
 
         void connect() {
@@ -329,7 +329,7 @@
 
         private boolean malformed(String what) {
             desk.count.badFrame++;
-            if (desk.count.mayWarn()) LOG.warn("bulletin sent what is no frame ({})", what);
+            if (desk.count.mayWarn()) LOG.warn("discovery sent what is no frame ({})", what);
             end("can't be used");
             return false;
         }
--- a/src/main/java/mothcross/net/Life.java
+++ b/src/main/java/mothcross/net/Life.java
@@ -39,7 +39,7 @@
     private Remembering remembering;
     private Rules routes;
     private final Desk desk;
-    private final Bulletin bulletin;
+    private final DiscoveryWatch watch;
     private final Remembered remembered;            // null where the operators leave it off
     private final Acceptor acceptor;
     private final NioSocketConnector connector;
@@ -108,7 +108,7 @@
         remembered = remembering == null ? null : new Remembered(desk, remembering.ages(),
             new WritePlan(remembering.urgentMs(), remembering.gatherMs()),
             keeper, remembering.fleet(), start.name, System.currentTimeMillis());
-        bulletin = new Bulletin(desk, remembered == null ? new News.Straight(desk) : remembered, start.bulletin);
+        watch = new DiscoveryWatch(desk, remembered == null ? new News.Straight(desk) : remembered, start.discovery);
         connector.setHandler(new Connection.Callbacks(desk, false));
         acceptor.setHandler(new Connection.Callbacks(desk, true));
         acceptor.setReuseAddress(true);
@@ -133,8 +133,8 @@
         }
         desk.enter();
         try {
-            if (remembered == null) bulletin.start(start.known);
-            else remembered.begin(start.known == null ? null : Bulletin.kept(start.known, remembering.fleet(),
+            if (remembered == null) watch.start(start.known);
+            else remembered.begin(start.known == null ? null : DiscoveryWatch.kept(start.known, remembering.fleet(),
                 start.name, start.writtenAt));
         } catch (RuntimeException e) {
             throw new Start.Unusable("field known can't be used: " + e.getMessage());
@@ -144,7 +144,7 @@
         Thread timers = new Thread(desk.timers, "timers");
         timers.setDaemon(true);
         timers.start();
-        desk.locked(bulletin::follow);
+        desk.locked(watch::follow);
         awaitNews();
         acceptor.bind(start.listen);
         desk.locked(() -> {
@@ -155,13 +155,13 @@
     }
 
     /**
-     * Nobody can ask before it listens, and it listens once the bulletin has spoken: what was told between the file and
+     * Nobody can ask before it listens, and it listens once discovery has spoken: what was told between the file and
      * now (a drain, a purge) counts as told, and whoever sees an open port may send. Where it does not speak, the
      * file's list has to do.
      */
     private void awaitNews() {
         try {
-            if (!bulletin.awaitSpoken()) LOG.debug("the bulletin has not spoken: what the file knows has to do");
+            if (!watch.awaitSpoken()) LOG.debug("discovery has not spoken: what the file knows has to do");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -251,7 +251,7 @@
             }
             start = anew;
             limits();
-            bulletin.move(anew.bulletin);
+            watch.move(anew.discovery);
             desk.count.reloads++;
             LOG.info("reload: the file is read anew{}", others ? "; its settings wait for the next start" : "");
         });
@@ -326,7 +326,7 @@
             if (s == Ending.State.OUT) break;
         }
         desk.locked(() -> {
-            bulletin.stop();
+            watch.stop();
             log();
         });
         if (remembered != null) remembered.end(LAST_WRITE_MS);
@@ -338,7 +338,7 @@
     public void release() {
         if (remembered != null) remembered.kill();
         desk.locked(() -> {
-            bulletin.stop();
+            watch.stop();
             desk.timers.stop();
         });
         acceptor.dispose(false);
--- a/src/main/java/mothcross/net/News.java
+++ b/src/main/java/mothcross/net/News.java
@@ -4,7 +4,7 @@
 import mothcross.Director;
 
 /**
- * Who takes the bulletin's news, within the module's round: the desk as it comes, or what is remembered of the
+ * Who takes the news of discovery, within the module's round: the desk as it comes, or what is remembered of the
  * fleet first. {@code number} is that of an event.
  */
 interface News {
--- a/src/main/java/mothcross/net/Start.java
+++ b/src/main/java/mothcross/net/Start.java
@@ -29,7 +29,7 @@
     }
 
     public final String name;
-    public final InetSocketAddress listen, bulletin;
+    public final InetSocketAddress listen, discovery;
     public final Opening opening;
     public final int sockets, mostHops;
     public final double memoryMb;
@@ -37,12 +37,12 @@
     /** When the file was written, Unix ms: as old as what it knows. */
     final double writtenAt;
 
-    private Start(String name, InetSocketAddress listen, InetSocketAddress bulletin, Opening opening,
+    private Start(String name, InetSocketAddress listen, InetSocketAddress discovery, Opening opening,
                   int sockets, double memoryMb, int mostHops, JsonObject known, double writtenAt,
                   JsonObject settings) {
         this.name = name;
         this.listen = listen;
-        this.bulletin = bulletin;
+        this.discovery = discovery;
         this.opening = opening;
         this.sockets = sockets;
         this.memoryMb = memoryMb;
@@ -89,8 +89,8 @@
         }
         JsonObject limits = need(all, "limits").getAsJsonObject();
         return new Start(all.has("name") ? all.get("name").getAsString() : "",
-            Bulletin.socket(listen != null ? listen : need(all, "listen").getAsString()),
-            Bulletin.socket(need(all, "bulletin").getAsString()), new Opening(flat, seed),
+            DiscoveryWatch.socket(listen != null ? listen : need(all, "listen").getAsString()),
+            DiscoveryWatch.socket(need(all, "bulletin").getAsString()), new Opening(flat, seed),
             need(limits, "sockets").getAsInt(), need(limits, "memory_mb").getAsDouble(),
             flat.small("Caps.MaxAttempts"), known, writtenAt, settings);
     }
--- a/src/test/java/mothcross/net/DrainPathsTest.java
+++ b/src/test/java/mothcross/net/DrainPathsTest.java
@@ -39,7 +39,7 @@
     }
 
     /** At a start: what was told since the file was written counts, so nobody can ask before it has been heard. */
-    @Test(timeOut = 30_000) public void nobodyCanAskBeforeTheBulletinHasSpoken() throws Exception {
+    @Test(timeOut = 30_000) public void nobodyCanAskBeforeDiscoveryHasSpoken() throws Exception {
         int port;
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = s.getLocalPort();
@@ -75,7 +75,7 @@
     }
 
     /** A bulletin that can't be reached, or takes the connection and says nothing, keeps no director from starting. */
-    @Test(timeOut = 30_000) public void aBulletinThatDoesNotSpeakHoldsNobodyUp() throws Exception {
+    @Test(timeOut = 30_000) public void aWatchThatSaysNothingHoldsNobodyUp() throws Exception {
         for (String how : List.of("refused", "node")) {
             Map<String, Outside> parties = new TreeMap<>(Map.of("bulletin", Outside.listening(how, "bulletin", 99),
                 "n1", Outside.listening("node", "cache", 1)));
