--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -214,6 +214,61 @@
         }
     }
 
+    /** A body of 60 MB is refused by its head; its sender gets the refusal and a close in the page's 6 s. */
+    @Test(timeOut = 30_000) public void hugeBodiesGetTheirRefusal() throws Exception {
+        Life life = life("node", Map.of("writes", "true"));
+        try {
+            Outside a = client("a", life);
+            long began = System.nanoTime();
+            a.write("PUT /api/v2/books/0a HTTP/1.1|Req-Id: 000000000000000a|Content-Length: 60000000||", false);
+            assertTrue(a.read().startsWith("HTTP/1.1 413 "));
+            String much = "y".repeat(1 << 20);
+            try {
+                for (int i = 0; i < 58; i++) a.write(much, false);
+            } catch (IOException e) {
+                assertTrue(clients(life) <= 1, "closed on it");
+            }
+            Fleet.until("the connection has ended", () -> clients(life) == 0);
+            assertTrue(System.nanoTime() - began < 6_000_000_000L, "took too long");
+        } finally {
+            release(life);
+        }
+    }
+
+    private static int clients(Life life) {
+        life.desk().enter();
+        try {
+            return life.desk().clients();
+        } finally {
+            life.desk().leave();
+        }
+    }
+
+    /** Many large bodies at once, none of them whole: past an eighth of the memory they are refused, and let go. */
+    @Test(timeOut = 30_000) public void halfReadBodiesAreBounded() throws Exception {
+        Life life = life("node", Map.of("writes", "true", "sockets", "400", "memory", "16"));
+        try {
+            String most = "y".repeat(150_000);
+            for (int i = 0; i < 30; i++) {
+                client("c" + i, life).write("PUT /api/v2/books/0a HTTP/1.1|Req-Id: " + String.format("%016x", i + 1)
+                    + "|Content-Length: 200000||" + most, false);
+            }
+            Desk d = life.desk();
+            Fleet.until("all is read", () -> d.ahead > 0 && clients(life) < 30);
+            for (int i = 0; i < 30; i++) {
+                Outside c = parties.get("c" + i);
+                c.write(most.substring(0, 10_000), false);  // who is still read is looked at again
+            }
+            Fleet.until("what is held is bounded", () -> d.ahead <= (16 << 20) / 8 + 160_000);
+            List<Outside> all = new ArrayList<>();
+            for (int i = 0; i < 30; i++) all.add(parties.get("c" + i));
+            Fleet.until("one has its refusal", () -> all.stream().anyMatch(Outside::answered));
+            for (Outside c : all) if (c.answered()) assertTrue(c.read().startsWith("HTTP/1.1 503 "));
+        } finally {
+            release(life);
+        }
+    }
+
     /** The states of a process's end, by time alone. */
     @Test public void theProcessEndsWhenNothingIsOwed() {
         Ending e = new Ending();
--- a/src/test/java/mothcross/net/ServeTest.java
+++ b/src/test/java/mothcross/net/ServeTest.java
@@ -435,6 +435,15 @@
             return s.toString().stripTrailing();
         }
 
+        /** Something is there to be read. */
+        boolean answered() {
+            try {
+                return in.available() > 0;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+
         boolean gone() throws IOException {
             try {
                 return in.read() < 0;
