Who closes behind its answer is not counted as unread

Seen by reading: goOn after an answer came through the same check with nothing left to read, and counted the client as one whose request was not read. Only the counter was wrong. ServeTest and EndingsTest hold.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -159,8 +159,8 @@
 
     @Override void received() {
         if (state != State.OPEN) desk.count.crossed++;
-        if (state == State.OPEN && lookup == null && Processor.endOfInput(session)) {
-            desk.count.cancelledUnread++;                        // it asked and went before that was read: nobody waits
+        if (state == State.OPEN && lookup == null && left() > 0 && Processor.endOfInput(session)) {
+            desk.count.cancelledUnread++;                   // it asked and went before that was read: nobody waits
             state = State.CLOSED;
         }
         suspected = false;
