A drain told before a kill is kept, however long syncs take

Cause: the list was synced before it was renamed, and the next write waited for that sync: a sync of W ms made a drain wait max(half the bound, W) + W.

Change: two recent files, written in place and in turns, with checksums; FILE is synced beside them by a thread of its own (SnapshotPersistence decides, SnapshotWorker stores). The newest that is whole is read. What is later than its bound is counted and logged with where its time went.

Of the same kind, mended with it: a failed write of a drain lost its urgency (next try after 300,001 ms with write_every_ms 600,000, now 1,001), so did a waiting drain at a SIGHUP with other bounds; the last write could outlast the moment in which the platform may kill.

RememberedTest: a folder in the place of FILE now fails the sync and not the write, so the test asks for that count and, beside it, that the list survives a kill; the store of the full disk gained the sync.

--- a/src/main/java/mothcross/membership/MembershipSnapshot.java
+++ b/src/main/java/mothcross/membership/MembershipSnapshot.java
@@ -16,4 +16,13 @@
  * @param purges the purges that still apply
  */
 public record MembershipSnapshot(String fleet, String director, double savedAt, long lastEvent, double confirmedAt,
-                                 PMap<String, ListedNode> entries, List<Purge> purges) { }
+                                 PMap<String, ListedNode> entries, List<Purge> purges) {
+    /**
+     * Whether it was taken after {@code other}, a snapshot of the same director. The event number decides first: the
+     * clock may have been set back between the two.
+     */
+    public boolean isNewerThan(MembershipSnapshot other) {
+        if (lastEvent != other.lastEvent) return lastEvent > other.lastEvent;
+        return savedAt > other.savedAt;
+    }
+}
--- a/src/main/java/mothcross/membership/SnapshotFormat.java
+++ b/src/main/java/mothcross/membership/SnapshotFormat.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -38,7 +39,8 @@
     }
 
     /**
-     * The result of reading a snapshot.
+     * The result of reading a snapshot. Where one of several copies can't be used, it has both another one's snapshot
+     * and an error.
      *
      * @param snapshot null where reading failed
      * @param error null where reading succeeded
@@ -54,6 +56,8 @@
     private static final long MAGIC = 0x6d6f74686c697374L;            // "mothlist"
     private static final int VERSION = 1;
     private static final int HEADER_BYTES = 24;
+    /** Where the body's length stands in the header. */
+    private static final int BODY_LENGTH_AT = 12;
     /** Added to a node's status where no confirmation of the whole list covers it. */
     private static final int UNCONFIRMED_FLAG = 4;
     /** Port, zone, kind and cell of a node as int, its status and flag as one byte. */
@@ -164,6 +168,17 @@
         return new Result(snapshot, null, "");
     }
 
+    /**
+     * The bytes of the snapshot that a file begins with, without what is left behind it of an earlier, longer one. All
+     * bytes where the header can't be used.
+     */
+    public static byte[] withoutTrailingBytes(byte[] bytes) {
+        if (bytes.length < HEADER_BYTES) return bytes;
+        int bodyLength = ByteBuffer.wrap(bytes).getInt(BODY_LENGTH_AT);
+        if (bodyLength < 0 || bodyLength > bytes.length - HEADER_BYTES) return bytes;
+        return Arrays.copyOf(bytes, HEADER_BYTES + bodyLength);
+    }
+
     private static MembershipSnapshot readBody(ByteBuffer in) {
         String fleet = readString(in);
         String director = readString(in);
--- a/src/main/java/mothcross/membership/WriteScheduler.java
+++ b/src/main/java/mothcross/membership/WriteScheduler.java
@@ -6,58 +6,88 @@
  * failed writes are retried with exponential backoff. It decides about times only and does not hold the data.
  */
 public final class WriteScheduler {
-    private static final double FIRST_RETRY_MS = 1000;
-    private static final double MAX_RETRY_MS = 60_000;
-    /** Keeps the doubled retry delay finite before {@link #MAX_RETRY_MS} bounds it. */
-    private static final int MAX_RETRY_DOUBLINGS = 20;
-
-    private final double urgentMs;
-    private final double batchMs;
-    private double changedAt = Double.NaN;
-    private double urgentAt = Double.NaN;
+    private double urgentBoundMs;
+    private double batchBoundMs;
+    private final RetryDelay retryDelay = new RetryDelay();
     private double startedAt = Double.NEGATIVE_INFINITY;
-    private double notBefore = Double.NEGATIVE_INFINITY;
-    private int failures;
     private boolean writing;
+    private boolean flushing;
+    // When the oldest change and the oldest urgent one were made: of those that wait, and of those being written.
+    private double changedAt = Double.POSITIVE_INFINITY;
+    private double urgentAt = Double.POSITIVE_INFINITY;
+    private double writingChangedAt = Double.POSITIVE_INFINITY;
+    private double writingUrgentAt = Double.POSITIVE_INFINITY;
 
-    /** Half of each bound is for batching changes, the other half for the write itself. */
+    /**
+     * Half of the longer bound is for batching changes, half of the shorter one for the rate of writes; the other half
+     * is for the write itself.
+     */
     public WriteScheduler(double urgentMs, double batchMs) {
-        this.urgentMs = urgentMs / 2;
-        this.batchMs = Math.max(batchMs, urgentMs) / 2;
+        setBounds(urgentMs, batchMs);
+    }
+
+    /** Replaces the bounds; changes that wait stay as old and as urgent as they are. */
+    public void setBounds(double urgentMs, double batchMs) {
+        urgentBoundMs = urgentMs;
+        batchBoundMs = Math.max(batchMs, urgentMs);
     }
 
     /** Something to be written has changed. */
     public void changed(boolean urgent, double now) {
-        if (Double.isNaN(changedAt)) changedAt = now;
-        if (urgent && Double.isNaN(urgentAt)) urgentAt = now;
+        changedAt = Math.min(changedAt, now);
+        if (urgent) urgentAt = Math.min(urgentAt, now);
+    }
+
+    /** From now on changes are written at once: the process is about to end. */
+    public void flush() {
+        flushing = true;
+        retryDelay.reset();
     }
 
     /** When the next write is to start; infinite while there is nothing to write or a write is in progress. */
     public double nextWriteAt() {
-        if (writing || Double.isNaN(changedAt)) return Double.POSITIVE_INFINITY;
-        double batchEndsAt = changedAt + batchMs;
-        double wantedAt = Double.isNaN(urgentAt) ? batchEndsAt : Math.min(urgentAt, batchEndsAt);
-        return Math.max(notBefore, Math.max(wantedAt, startedAt + urgentMs));
+        if (writing || changedAt == Double.POSITIVE_INFINITY) return Double.POSITIVE_INFINITY;
+        if (flushing) return retryDelay.notBefore();
+        double wantedAt = Math.min(urgentAt, changedAt + batchBoundMs / 2);
+        return Math.max(retryDelay.notBefore(), Math.max(wantedAt, startedAt + urgentBoundMs / 2));
+    }
+
+    /** By when all that waits or is being written has to be written; infinite where there is nothing. */
+    public double dueAt() {
+        return Math.min(writingDueAt(), Math.min(urgentAt + urgentBoundMs, changedAt + batchBoundMs));
+    }
+
+    /** By when what is being written has to be written; infinite where there is nothing. */
+    public double writingDueAt() {
+        return Math.min(writingUrgentAt + urgentBoundMs, writingChangedAt + batchBoundMs);
+    }
+
+    /** When the oldest change that is being written was made; infinite where there is none. */
+    public double writingChangedAt() {
+        return writingChangedAt;
     }
 
     /** A write of all changes so far has started. */
     public void writeStarted(double now) {
         writing = true;
         startedAt = now;
-        changedAt = Double.NaN;
-        urgentAt = Double.NaN;
+        writingChangedAt = changedAt;
+        writingUrgentAt = urgentAt;
+        changedAt = Double.POSITIVE_INFINITY;
+        urgentAt = Double.POSITIVE_INFINITY;
     }
 
-    /** The write has ended; the changes of a failed one still have to be written. */
+    /** The write has ended; the changes of a failed one still have to be written, and keep their age and urgency. */
     public void writeEnded(boolean succeeded, double now) {
         writing = false;
         if (succeeded) {
-            failures = 0;
-            notBefore = Double.NEGATIVE_INFINITY;
-            return;
+            retryDelay.reset();
+        } else {
+            retryDelay.failed(now);
+            changedAt = Math.min(changedAt, writingChangedAt);
+            urgentAt = Math.min(urgentAt, writingUrgentAt);
         }
-        double delayMs = FIRST_RETRY_MS * Math.pow(2, Math.min(MAX_RETRY_DOUBLINGS, failures++));
-        notBefore = now + Math.min(MAX_RETRY_MS, delayMs);
-        if (Double.isNaN(changedAt)) changedAt = now;
+        writingChangedAt = Double.POSITIVE_INFINITY;
+        writingUrgentAt = Double.POSITIVE_INFINITY;
     }
 }
--- a/src/main/java/mothcross/net/DirectorServer.java
+++ b/src/main/java/mothcross/net/DirectorServer.java
@@ -39,7 +39,9 @@
     private static final int WRITE_TIMEOUT_S = 10;
     private static final long CONNECT_TIMEOUT_MARGIN_MS = 1000;
     private static final long SHUTDOWN_POLL_MS = 5;
-    private static final long LAST_WRITE_TIMEOUT_MS = 500;
+    private static final double MAX_LAST_WRITE_MS = 500;
+    /** Left for the last write even where the last clients stayed until the platform may kill the process. */
+    private static final double MIN_LAST_WRITE_MS = 20;
 
     private StartupConfig config;
     private MembershipSettings membershipSettings;
@@ -269,8 +271,7 @@
             if (!membershipNeedsRestart && newMembershipSettings != null
                 && !newMembershipSettings.equals(membershipSettings)) {
                 persistentMembership.reload(newMembershipSettings.ages(),
-                    new WriteScheduler(newMembershipSettings.urgentWriteDelayMs(),
-                        newMembershipSettings.writeIntervalMs()));
+                    newMembershipSettings.urgentWriteDelayMs(), newMembershipSettings.writeIntervalMs());
                 membershipSettings = newMembershipSettings;
             }
             config = newConfig;
@@ -367,7 +368,10 @@
             discoveryWatch.stop();
             logCounters();
         });
-        if (persistentMembership != null) persistentMembership.stop(LAST_WRITE_TIMEOUT_MS);
+        if (persistentMembership != null) {
+            double leftMs = Math.min(MAX_LAST_WRITE_MS, shutdown.killAt() - System.currentTimeMillis());
+            persistentMembership.stop((long) Math.max(MIN_LAST_WRITE_MS, leftMs));
+        }
         dispatcher.runLocked(dispatcher.timers::stop);
         terminated.countDown();
     }
--- a/src/main/java/mothcross/net/PersistentMembership.java
+++ b/src/main/java/mothcross/net/PersistentMembership.java
@@ -1,6 +1,5 @@
 package mothcross.net;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -10,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import mothcross.Director;
 import mothcross.adapter.DirectorSettings;
 import mothcross.membership.AgeLimits;
@@ -42,7 +42,9 @@
     private final Dispatcher dispatcher;
     private final DirectorSettings settings;
     private final Membership membership;
-    private WriteScheduler writeScheduler;
+    private final SnapshotPersistence persistence;
+    private final SnapshotWorker writer;
+    private final SnapshotWorker syncer;
     private final SnapshotStore store;
     private final String fleet;
     private final String director;
@@ -54,19 +56,13 @@
     private final Map<String, PendingChange> pendingChanges = new LinkedHashMap<>();
     private final Map<String, Integer> unloggedChanges = new HashMap<>();
     private final Map<SnapshotFormat.ReadError, Integer> readErrors = new EnumMap<>(SnapshotFormat.ReadError.class);
-    private final Thread writer;
-    private MembershipSnapshot snapshotToWrite;             // guarded by this
-    private boolean stopped;                                // guarded by this
     private boolean discoveryHeard;
     private boolean discoveryLost = true;
     private boolean olderReported;
-    private boolean lastWriteSucceeded = true;
     private int linesInSecond;
     private long lineSecond;
     private int trustedCount;
     private int droppedCount;
-    long writesCompleted;
-    long writesFailed;
 
     /** {@code startedAt} is the system's clock at the start, Unix ms; the age of a stored snapshot is judged by it. */
     PersistentMembership(Dispatcher dispatcher, AgeLimits ages, WriteScheduler writeScheduler, SnapshotStore store,
@@ -74,7 +70,6 @@
         this.dispatcher = dispatcher;
         this.settings = dispatcher.settings;
         this.clockSkewMs = ages.clockSkewMs();
-        this.writeScheduler = writeScheduler;
         this.store = store;
         this.fleet = fleet;
         this.director = director;
@@ -82,9 +77,9 @@
         SplittableRandom random = new SplittableRandom(settings.edgeSeed);
         this.membership = new Membership(ages, settings.purgeRetentionMs, random, this);
         this.hasWriteLock = store.acquireWriteLock();
-        this.writer = new Thread(this::writeSnapshots, "list");
-        writer.setDaemon(true);
-        writer.start();
+        this.writer = new SnapshotWorker("list", store::write, this::writeEnded);
+        this.syncer = new SnapshotWorker("list-sync", store::sync, this::syncEnded);
+        this.persistence = new SnapshotPersistence(writeScheduler, this::snapshot, writer::submit, syncer::submit);
         if (!hasWriteLock) {
             LOG.atWarn().addKeyValue("fleet", fleet).addKeyValue("director", director)
                 .log("list: another director writes to this file; this one only reads it");
@@ -99,6 +94,10 @@
         return membership;
     }
 
+    SnapshotPersistence persistence() {
+        return persistence;
+    }
+
     // ---- start and reload ----
 
     /**
@@ -145,6 +144,7 @@
                 dispatcher.processBatch(to -> {
                     membership.tick(now());
                     applyPendingChanges(to);
+                    persistence.checkBounds(now());
                 });
                 scheduleTick();
             }
@@ -152,9 +152,9 @@
     }
 
     /** Applies reloaded limits and write delays; file and fleet can change only with a restart. */
-    void reload(AgeLimits ages, WriteScheduler scheduler) {
-        writeScheduler = scheduler;
-        writeScheduler.changed(false, now());
+    void reload(AgeLimits ages, double urgentWriteDelayMs, double writeIntervalMs) {
+        persistence.setBounds(urgentWriteDelayMs, writeIntervalMs);
+        persistence.changed(false, now());
         dispatcher.processBatch(to -> {
             membership.setAgeLimits(ages, now());
             applyPendingChanges(to);
@@ -315,112 +315,76 @@
         }
         double now = now();
         boolean urgent = membership.takeUrgent();
-        if (membership.takeDirty() || urgent) writeScheduler.changed(urgent, now);
-        writeWhenDue(now);
+        if (membership.takeDirty() || urgent) persistence.changed(urgent, now);
+        storeWhatIsDue();
     }
 
-    // ---- writing the snapshot ----
+    // ---- storing the snapshot ----
 
-    private final Timers.Timer writeTimer = new Timers.Timer() {
+    private final Timers.Timer storeTimer = new Timers.Timer() {
         @Override void fire() {
-            writeWhenDue(now());
+            storeWhatIsDue();
         }
     };
 
-    private void writeWhenDue(double now) {
-        double dueAt = writeScheduler.nextWriteAt();
-        if (!hasWriteLock || dueAt == Double.POSITIVE_INFINITY) return;
-        if (dueAt > now) {
-            dispatcher.timers.set(writeTimer, dispatcher.clock() + dueAt - now);
-            return;
-        }
-        dispatcher.timers.cancel(writeTimer);
-        writeScheduler.writeStarted(now);
-        MembershipSnapshot snapshot = snapshot(now);
-        synchronized (this) {
-            snapshotToWrite = snapshot;
-            notifyAll();
-        }
+    private void storeWhatIsDue() {
+        if (!hasWriteLock) return;
+        double now = now();
+        double nextAt = persistence.advance(now);
+        if (nextAt == Double.POSITIVE_INFINITY) dispatcher.timers.cancel(storeTimer);
+        else dispatcher.timers.set(storeTimer, dispatcher.clock() + nextAt - now);
     }
 
     private MembershipSnapshot snapshot(double now) {
         return membership.snapshot(fleet, director, Math.max(now, System.currentTimeMillis()));
     }
 
-    /** The writer thread: writes each snapshot that is handed over, until it is stopped and none is left. */
-    private void writeSnapshots() {
-        while (true) {
-            MembershipSnapshot snapshot;
-            synchronized (this) {
-                try {
-                    while (snapshotToWrite == null && !stopped) wait();
-                } catch (InterruptedException e) {
-                    return;
-                }
-                if (snapshotToWrite == null) {
-                    store.close();
-                    return;
-                }
-                snapshot = snapshotToWrite;
-                snapshotToWrite = null;
-            }
-            String problem = null;
-            try {
-                store.write(snapshot);
-            } catch (IOException | RuntimeException e) {
-                problem = e.getClass().getSimpleName() + ": " + e.getMessage();
-            }
-            String error = problem;
-            dispatcher.runLocked(() -> writeEnded(error));
-        }
+    private void writeEnded(SnapshotWorker.Outcome outcome) {
+        dispatcher.runLocked(() -> {
+            persistence.writeEnded(outcome, now());
+            storeWhatIsDue();
+        });
     }
 
-    /** {@code error} is null where the write succeeded. */
-    private void writeEnded(String error) {
-        double now = now();
-        writeScheduler.writeEnded(error == null, now);
-        if (error == null) {
-            writesCompleted++;
-            if (!lastWriteSucceeded) LOG.atInfo().log("list: snapshot can be written again");
-            lastWriteSucceeded = true;
-        } else {
-            writesFailed++;
-            if (lastWriteSucceeded) {
-                LOG.atWarn().addKeyValue("why", error).log("list: snapshot can't be written; the stored one ages");
-            }
-            lastWriteSucceeded = false;
-        }
-        writeWhenDue(now);
+    private void syncEnded(SnapshotWorker.Outcome outcome) {
+        dispatcher.runLocked(() -> {
+            persistence.syncEnded(outcome, now());
+            storeWhatIsDue();
+        });
     }
 
-    /** Writes a last snapshot where there are changes, then releases the file; waits at most {@code timeoutMs}. */
+    /** Writes and syncs a last snapshot where there are changes; waits at most {@code timeoutMs}. */
     void stop(long timeoutMs) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
         dispatcher.runLocked(() -> {
             double now = now();
-            if (membership.takeDirty()) writeScheduler.changed(true, now);
-            boolean writeLeft = hasWriteLock && writeScheduler.nextWriteAt() != Double.POSITIVE_INFINITY;
-            synchronized (this) {
-                if (writeLeft) snapshotToWrite = snapshot(now);
-                if (writeLeft) writeScheduler.writeStarted(now);
-                stopped = true;
-                notifyAll();
-            }
+            if (membership.takeDirty()) persistence.changed(true, now);
+            if (hasWriteLock) persistence.flush(now);
         });
-        writer.join(timeoutMs);
+        // The writer hands over to the syncer, so it ends first.
+        writer.stop();
+        boolean written = writer.join(timeoutMs);
+        syncer.stop();
+        long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        boolean synced = written && syncer.join(leftMs);
+        if (!synced) {
+            LOG.atWarn().addKeyValue("waited_ms", timeoutMs).addKeyValue("written", written)
+                .log("list: the process ends before its last changes are synced");
+        }
+        if (synced) store.close();
     }
 
     /** Stops without a last write, as a kill of the process would. */
     void kill() {
-        synchronized (this) {
-            snapshotToWrite = null;
-            stopped = true;
-            notifyAll();
-        }
+        writer.stopAndDiscard();
+        syncer.stopAndDiscard();
         try {
             writer.join();
+            syncer.join();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        store.close();
     }
 
     /** The membership's part of the line of counters in the log. */
@@ -430,8 +394,7 @@
             int count = membership.count(state);
             if (count > 0) line.append(' ').append(state.label()).append(' ').append(count);
         }
-        line.append(", event ").append(membership.lastEvent()).append(", written ").append(writesCompleted)
-            .append(" (failed ").append(writesFailed).append(')');
+        line.append(", event ").append(membership.lastEvent()).append(", ").append(persistence.counterText());
         for (Membership.UpdateResult result : Membership.UpdateResult.values()) {
             boolean shown = result != Membership.UpdateResult.APPLIED && membership.updateCount(result) > 0;
             if (shown) {
--- a/src/main/java/mothcross/net/ShutdownSequence.java
+++ b/src/main/java/mothcross/net/ShutdownSequence.java
@@ -49,6 +49,11 @@
         return answerDeadline;
     }
 
+    /** When the platform may kill the process. */
+    double killAt() {
+        return answerDeadline + MARGIN_MS;
+    }
+
     /**
      * Advances to the state of {@code now}; {@code lastAcceptedAt} is when the last client was accepted, and
      * {@code clients} the number of connections that are not closed yet.
--- a/src/test/java/mothcross/net/MeasureMembership.java
+++ b/src/test/java/mothcross/net/MeasureMembership.java
@@ -170,6 +170,7 @@
                 t[1] = System.nanoTime();
                 SnapshotFileStore store = new SnapshotFileStore(file, "fleet", "d1");
                 store.write(snapshot);
+                store.sync(snapshot);
                 t[2] = System.nanoTime();
                 Membership membership = new Membership(AgeLimits.DEFAULTS, 1000, new SplittableRandom(1),
                     (e, was, is, cold, why) -> { });
--- a/src/test/java/mothcross/net/RememberedTest.java
+++ b/src/test/java/mothcross/net/RememberedTest.java
@@ -234,8 +234,8 @@
             long event = fleet.discovery.sendChanges(FakeDiscovery.DRAINING, fleet.caches.get(0));
             Fleet.awaitTrue("both have the event",
                 () -> Fleet.lastEvent(second) == event && storedEvent(fleet, "d1") == event);
-            assertEquals(second.persistentMembership().writesCompleted, 0);
-            assertTrue(first.persistentMembership().writesCompleted > 0);
+            assertEquals(second.persistentMembership().persistence().writes().completed(), 0);
+            assertTrue(first.persistentMembership().persistence().writes().completed() > 0);
         }
     }
 
@@ -264,9 +264,13 @@
             Path unwritable = fleet.directory.resolve("none").resolve("list");
             DirectorServer withoutDirectory = fleet.director("d3",
                 new MembershipSettings(unwritable, "fleet", Fleet.AGES, 100, 1000));
+            SnapshotPersistence overDirectoryCounts = overDirectory.persistentMembership().persistence();
+            SnapshotPersistence withoutDirectoryCounts = withoutDirectory.persistentMembership().persistence();
+            Fleet.awaitTrue("the failed sync is counted", () -> overDirectoryCounts.syncs().failed() > 0);
+            Fleet.awaitTrue("the failed write is counted", () -> withoutDirectoryCounts.writes().failed() > 0);
+            Fleet.awaitTrue("it survives a kill all the same", () -> storedEvent(fleet, "d2") == 1);
             for (DirectorServer director : List.of(overDirectory, withoutDirectory)) {
                 Fleet.awaitTrue("event 1", () -> Fleet.lastEvent(director) == 1);
-                Fleet.awaitTrue("the failed write is counted", () -> director.persistentMembership().writesFailed > 0);
                 try (FakeClients.Client client = new FakeClients.Client(director.port())) {
                     assertEquals(client.status(1, 10, 3), 200);
                 }
@@ -295,6 +299,10 @@
                     disk.write(list);
                 }
 
+                @Override public void sync(MembershipSnapshot list) throws IOException {
+                    disk.sync(list);
+                }
+
                 @Override public void close() {
                     disk.close();
                 }
@@ -304,9 +312,10 @@
             fleet.directors.add(director);
             director.start();
             Fleet.awaitTrue("a write succeeds", () -> storedSnapshot(fleet, "d1") != null
-                && director.persistentMembership().writesCompleted > 0);
-            assertEquals(director.persistentMembership().writesFailed, 2);
-            assertEquals(tries.get(), 2 + (int) director.persistentMembership().writesCompleted);
+                && director.persistentMembership().persistence().writes().completed() > 0);
+            StorageStageLog writes = director.persistentMembership().persistence().writes();
+            assertEquals(writes.failed(), 2);
+            assertEquals(tries.get(), 2 + (int) writes.completed());
         }
     }
 
