--- a/src/main/java/mothcross/net/DirectorServer.java
+++ b/src/main/java/mothcross/net/DirectorServer.java
@@ -380,6 +380,7 @@
     public void release() {
         if (persistentMembership != null) persistentMembership.kill();
         dispatcher.runLocked(() -> {
+            dispatcher.refuseSends();                   // a connector that is disposed of connects no more
             discoveryWatch.stop();
             dispatcher.timers.stop();
         });
--- a/src/main/java/mothcross/net/Dispatcher.java
+++ b/src/main/java/mothcross/net/Dispatcher.java
@@ -457,9 +457,14 @@
 
     // ---- shutdown ----
 
+    /** Sends no further hops and probes; hops that are open go on. */
+    void refuseSends() {
+        sendingStopped = true;
+    }
+
     /** Sends no further hops: open hops end as not sent or timed out, so that their lookups are answered. */
     void stopSending() {
-        sendingStopped = true;
+        refuseSends();
         for (Lookup lookup : new ArrayList<>(openLookups.values())) timeOutHops(lookup);
     }
 
@@ -517,7 +522,7 @@
     }
 
     @Override public void probe(int node) {
-        NodeConnection.probe(this, nodes.get(node));
+        if (!sendingStopped) NodeConnection.probe(this, nodes.get(node));
     }
 
     @Override public void setTimer(double at, long name) {
