A director that was not run looks again before it gives up a connection

Callers: after a moment in which the process is not run, each connection that is just being made counted as failed though the node had taken it; requests that waited for it went elsewhere or were refused.

Cause: a connect's time-out is a timer, that it is up is told by two other threads; after a pause the timer may come first. The time-outs of reading and of a silent node look a second time, this one did not.

Evidence: ServeTest.programReadsAnewOnHangup failed once ("ended") beside a suite of 30 processes. PausedProcessTest forces it with SIGSTOP: the system completes the connection 1 s after the first packet, the process goes on 0.3 s past its time-out of 2.5 s; 3 of 3 plays failed, with the same "ended". That the one failed play was this is likely, not shown (0 of 9 alone beside 24 busy processes).

Change: a connect's timer that fires over 50 ms late is set once more, for 50 ms; one in time is as before.

--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -138,10 +138,21 @@
         }
     };
 
-    /** A connection not up in time counts as failed to connect. */
+    /**
+     * A connection not up in time counts as failed to connect. Where the timer itself is late, the process was not run
+     * for a while, and a connection that has come up may not have been looked at yet.
+     */
     private final Timers.Timer connectTimeout = new Timers.Timer() {
+        private boolean extended;
+
         @Override void fire() {
             if (up || ended) return;
+            double now = dispatcher.clock();
+            if (!extended && now - dueAt() > UNREAD_GRACE_MS) {
+                extended = true;
+                dispatcher.timers.set(this, now + UNREAD_GRACE_MS);
+                return;
+            }
             connectFuture.cancel();
             closed();
         }
--- a/src/main/java/mothcross/net/Timers.java
+++ b/src/main/java/mothcross/net/Timers.java
@@ -20,6 +20,11 @@
         private int heapIndex = NOT_SET;
 
         abstract void fire();
+
+        /** When it was set to fire. */
+        final double dueAt() {
+            return dueAt;
+        }
     }
 
     private final Dispatcher dispatcher;
