A director that only reads its list file does not warn of late writes

Operators: two directors with one file; the one that may not write logged "changes are not written within their bound" 0.4 s after the first change, though it owes no write.

Cause: the check of the bounds ran without the write lock, and nothing takes the changes that wait there. Change: checked with the lock only.

--- a/src/main/java/mothcross/net/PersistentMembership.java
+++ b/src/main/java/mothcross/net/PersistentMembership.java
@@ -144,7 +144,7 @@
                 dispatcher.processBatch(to -> {
                     membership.tick(now());
                     applyPendingChanges(to);
-                    persistence.checkBounds(now());
+                    if (hasWriteLock) persistence.checkBounds(now());
                 });
                 scheduleTick();
             }
--- a/src/test/java/mothcross/net/RememberedTest.java
+++ b/src/test/java/mothcross/net/RememberedTest.java
@@ -26,6 +26,7 @@
 public class RememberedTest {
     private static final double HOUR_MS = 3_600_000;
     private static final double CLOCK_SKEW_MS = 5000;
+    private static final long SEVERAL_BOUND_CHECKS_MS = 1500;
 
     /**
      * Age of the snapshot, whether lookups are handled while discovery is unavailable, and the node's state before and
@@ -234,7 +235,9 @@
             long event = fleet.discovery.sendChanges(FakeDiscovery.DRAINING, fleet.caches.get(0));
             Fleet.awaitTrue("both have the event",
                 () -> Fleet.lastEvent(second) == event && storedEvent(fleet, "d1") == event);
+            Thread.sleep(SEVERAL_BOUND_CHECKS_MS);
             assertEquals(second.persistentMembership().persistence().writes().completed(), 0);
+            assertEquals(second.persistentMembership().persistence().writes().lateCount(), 0, "it owes no write");
             assertTrue(first.persistentMembership().persistence().writes().completed() > 0);
         }
     }
