A connect that takes too long is not cancelled: that could stop the connector

Callers: where it happens, no connection that does not come up at once is told of any more, and lookups are refused until the director is restarted.

Cause: a cancel after the system has completed the connection and before the sockets' thread has seen it is counted twice by MINA's connector; its thread ends with an attempt still open.

Change: NodeConnection and DiscoveryWatch cancel nothing; the connector's own time-out ends the attempt a second later, and what comes up in between is closed.

--- a/src/main/java/mothcross/net/DirectorServer.java
+++ b/src/main/java/mothcross/net/DirectorServer.java
@@ -131,7 +131,8 @@
             session.setWriteTimeout(WRITE_TIMEOUT_S);
         }
         acceptor.getSessionConfig().setMaxReadBufferSize(MAX_CLIENT_READ_BYTES);
-        // The dispatcher's own timer for a connect fires earlier.
+        // The dispatcher's own timer for a connect fires earlier; this one ends the attempt. It is never cancelled: a
+        // cancel that crosses the moment in which it comes up makes MINA's connector miscount, and stop.
         connector.setConnectTimeoutMillis((long) config.directorSettings.connectMs + CONNECT_TIMEOUT_MARGIN_MS);
     }
 
--- a/src/main/java/mothcross/net/DiscoveryWatch.java
+++ b/src/main/java/mothcross/net/DiscoveryWatch.java
@@ -182,7 +182,7 @@
         reconnectDelayMs = MIN_RECONNECT_DELAY_MS;
         FeedConnection previous = feed;
         feed = null;                                    // so that its end does not schedule a reconnect
-        if (previous != null) previous.cancel();
+        if (previous != null) previous.abort();
         connect();
     }
 
@@ -223,8 +223,7 @@
             lastFrameAt = dispatcher.clock();
             connecting = dispatcher.connector.connect(address, (session, future) -> bindSession(session));
             connecting.addListener(future -> {
-                if (connecting.getException() == null && !connecting.isCanceled()) return;
-                dispatcher.runLocked(() -> end("connect failed"));
+                if (connecting.getException() != null) dispatcher.runLocked(() -> end("connect failed"));
             });
             scheduleTimeoutCheck();
         }
@@ -242,7 +241,6 @@
                         return;
                     }
                     end(established ? "no frame in time" : "connect timed out");
-                    connecting.cancel();
                 }
             }, lastFrameAt + timeoutMs());
         }
@@ -251,12 +249,6 @@
             return established ? FRAME_TIMEOUT_MS : dispatcher.settings.connectMs;
         }
 
-        /** Closes the connection, or the attempt, without reporting its end. */
-        void cancel() {
-            connecting.cancel();
-            abort();
-        }
-
         private void end(String reason) {
             if (feed != this) return;
             abort();
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -60,7 +60,7 @@
     private Hop lastWritten;
     private boolean awaitingWrite;
     private long probeCount;
-    private ConnectFuture connectFuture;
+    ConnectFuture connectFuture;
     private boolean up;
     private boolean ended;
     private boolean retired;
@@ -140,9 +140,10 @@
 
     /**
      * A connection not up in time counts as failed to connect. Where the timer itself is late, the process was not run
-     * for a while, and a connection that has come up may not have been looked at yet.
+     * for a while, and a connection that has come up may not have been looked at yet. The attempt is left to the
+     * connector's own time-out, see {@link DirectorServer}: cancelling it could stop the connector.
      */
-    private final Timers.Timer connectTimeout = new Timers.Timer() {
+    final Timers.Timer connectTimeout = new Timers.Timer() {
         private boolean extended;
 
         @Override void fire() {
@@ -153,7 +154,6 @@
                 dispatcher.timers.set(this, now + UNREAD_GRACE_MS);
                 return;
             }
-            connectFuture.cancel();
             closed();
         }
     };
@@ -188,9 +188,7 @@
         dispatcher.timers.set(connectTimeout, dispatcher.clock() + dispatcher.settings.connectMs);
         connectFuture = dispatcher.connector.connect(node.address, (session, future) -> bindSession(session));
         connectFuture.addListener(future -> {
-            if (connectFuture.getException() != null || connectFuture.isCanceled()) {
-                dispatcher.runLocked(this::closed);
-            }
+            if (connectFuture.getException() != null) dispatcher.runLocked(this::closed);
         });
     }
 
