A decided register is on disk before its plan is activated, as before

Suspected: wrote the register on the disk's thread, so a plan could be in force before any director had it on disk, and all were restarted then. That order was not meant to change; it is as it was. The voter's state stays on the disk's thread. Open: a disk that hangs at a register holds the lease.

--- a/src/main/java/mothcross/policy/net/PolicyNode.java
+++ b/src/main/java/mothcross/policy/net/PolicyNode.java
@@ -24,7 +24,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import mothcross.fleet.net.FleetNode;
@@ -47,9 +46,10 @@
 
 /**
  * The I/O layer of a {@link PolicyParticipant}: carries its messages over the fleet's links, writes its state to disk,
- * compiles its texts, and answers requests of the command line. The participant runs on one thread and never waits for
- * the disk: a second thread does all writes in their order, and a reply that rests on one is sent after its sync has
- * returned. Where a step fails with an exception nothing of it is sent.
+ * compiles its texts, and answers requests of the command line. The participant runs on one thread. The voter's state
+ * is written by a second one, in the order of the writes, and a reply that rests on one is sent after its sync has
+ * returned; a decided register is written before its plan is activated. Where a step fails with an exception nothing of
+ * it is sent.
  */
 public final class PolicyNode implements FleetNode.MessageHandler, ServingPermit, AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger("mothcross.policy");
@@ -89,7 +89,6 @@
     });
     /** What the participant has to be told of writes that have ended; never dropped, unlike {@link #tasks}. */
     private final Queue<Runnable> endedWrites = new ConcurrentLinkedQueue<>();
-    private final AtomicReference<PolicyRegister> registerToWrite = new AtomicReference<>();
     private int pendingVoterWrites;
     /** The voter's state that is on disk, null where a write has failed; used by the disk's thread only. */
     private Voter.State storedVoterState;
@@ -209,7 +208,7 @@
         if (action instanceof PolicyParticipant.PersistVoterState persist) {
             persistVoterState(persist.state());
         } else if (action instanceof PolicyParticipant.PersistRegister persist) {
-            if (registerToWrite.getAndSet(persist.register()) == null) disk.execute(this::writeRegister);
+            writeRegister(persist.register());
         } else if (action instanceof PolicyParticipant.ValidateText validate) {
             compiler.execute(() -> validate(validate.digest(), validate.bytes()));
         } else if (action instanceof PolicyParticipant.DeleteText delete) {
@@ -227,6 +226,15 @@
         }
     }
 
+    /** Before the plan is activated; where the write fails, the next start asks the voters for the register. */
+    private void writeRegister(PolicyRegister register) {
+        try {
+            store.writeRegister(register);
+        } catch (IOException e) {
+            failedWrites.incrementAndGet();
+        }
+    }
+
     private void persistVoterState(Voter.State state) {
         pendingVoterWrites++;
         disk.execute(() -> writeVoterState(state));
@@ -257,15 +265,6 @@
         else participant.voterStateNotSynced();
     }
 
-    /** Writes the latest register; where that fails, the next start asks the voters for it. */
-    private void writeRegister() {
-        try {
-            store.writeRegister(registerToWrite.getAndSet(null));
-        } catch (IOException e) {
-            failedWrites.incrementAndGet();
-        }
-    }
-
     // ---- the compiler's thread ----
 
     private void deleteText(String digest) {
