--- a/review/standin/Case1.java
+++ b/review/standin/Case1.java
@@ -78,6 +78,7 @@
         int drained = 0;
         for (Node node : all) {
             for (Node.Arrival arrival : List.copyOf(node.arrivals)) {
+                lab.log(node.id() + " ran " + arrival);
                 boolean names = node == draining || draining.id().equals(arrival.fields().get("via"));
                 if (!names || arrival.at() <= told + DRAIN_GRACE_MS) continue;
                 drained++;
