--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,10 +1,22 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
-folder=$(cd "$(dirname "$0")" && pwd)
-root=$(cd "$folder/../.." && pwd)
-cd "$root" || exit 2
-[ -f target/mothcross.jar ] && [ -f target/review-2/Wide.class ] || { echo "not built: see review/build-2.sh"; exit 2; }
-timeout -k 3 115 java -Xmx1g -cp target/review-2 Wide "$root" "$folder"
-status=$?
-[ $status -le 1 ] || status=2
-exit $status
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+root=$(cd "$folder/../.." && pwd) || exit 2
+[ -f "$root/target/mothcross.jar" ] && [ -f "$root/target/review-2/Wide.class" ] || { echo "not built"; exit 2; }
+# The case writes the id of each director here; whatever ends this script ends them.
+PIDS=$(mktemp) || exit 2
+export PIDS
+timer=
+finish() {
+    [ -z "$timer" ] || kill "$timer" 2>/dev/null
+    while read -r pid; do kill -KILL "$pid" 2>/dev/null; done < "$PIDS"
+    rm -f "$PIDS"
+}
+trap finish EXIT
+trap 'exit 2' HUP INT TERM
+timeout -k 3 112 java -Xmx1g -cp "$root/target/review-2" Wide "$root" "$folder" &
+timer=$!
+wait "$timer"
+code=$?
+[ $code -le 1 ] || exit 2
+exit $code
--- a/review/standin-2/Stage.java
+++ b/review/standin-2/Stage.java
@@ -111,6 +111,8 @@
         builder.redirectErrorStream(true);
         Process process = builder.start();
         processes.add(process);
+        String ids = System.getenv("PIDS");                 // run.sh ends these, should this process not do so
+        if (ids != null) Files.writeString(Path.of(ids), process.pid() + "\n", StandardOpenOption.APPEND);
         note("director %s: process %d: %s", name, process.pid(), line);
         threads.execute(() -> {
             try (BufferedReader reader = process.inputReader()) {
