--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,8 +8,15 @@
 export PIDS
 timer=
 finish() {
-    [ -z "$timer" ] || kill "$timer" 2>/dev/null
-    while read -r pid; do kill -KILL "$pid" 2>/dev/null; done < "$PIDS"
+    trap '' HUP INT TERM
+    if [ -n "$timer" ]; then
+        kill "$timer" 2>/dev/null
+        wait "$timer" 2>/dev/null
+    fi
+    while read -r pid; do
+        # An id may belong to another process by now.
+        if grep -qa mothcross.jar "/proc/$pid/cmdline" 2>/dev/null; then kill -KILL "$pid" 2>/dev/null; fi
+    done < "$PIDS"
     rm -f "$PIDS"
 }
 trap finish EXIT
@@ -18,5 +25,6 @@
 timer=$!
 wait "$timer"
 code=$?
+timer=
 [ $code -le 1 ] || exit 2
 exit $code
