Connections to nodes stay within the descriptors that clients leave over

Cause: Dispatcher.connectionsPerNode() gives each node at least one connection, and nothing bounded their sum; an idle one was closed only when the same node was chosen again. In the case 223 of the 256 descriptors were connections to nodes, while clients were promised eleven sixteenths of the same 256.

Change: DescriptorBudget counts the sockets of clients and of nodes against one limit, from before a socket is opened until it is closed. Every connection to a node is opened by NodeConnections.open(); without a descriptor it waits with its hops, and connections idle for longest are closed for it, also when further clients need descriptors. The set of connections moves out of Dispatcher. Two counters show it: awaited, closed for room.

--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -45,6 +45,9 @@
     long slowReaders;
     /** Clients closed, or new ones refused, because descriptors ran short. */
     long evicted;
+    /** Connections to nodes that had to wait for a descriptor, and those closed while idle to make room. */
+    long awaitedDescriptor;
+    long closedForRoom;
     /** Clients closed after the idle timeout. */
     long idle;
     /** Clients whose request was not complete in time. */
@@ -98,6 +101,7 @@
         s.append("; clients: slow to ask ").append(slowHead).append(", left idle ").append(idle);
         s.append(", slow readers ").append(slowReaders).append(", crowded ").append(evicted);
         s.append(", too far ahead ").append(readAheadTruncated).append(", crossed ").append(receivedAfterClose);
+        s.append("; descriptors: awaited ").append(awaitedDescriptor).append(", closed for room ").append(closedForRoom);
         if (notCurrent > 0) s.append("; not current ").append(notCurrent);
         s.append("; reloads ").append(reloads).append(", warnings kept back ").append(suppressedWarnings);
         warnings = 0;
--- a/src/main/java/mothcross/net/DirectorServer.java
+++ b/src/main/java/mothcross/net/DirectorServer.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicInteger;
 import mothcross.Workload;
 import mothcross.membership.WriteScheduler;
 import mothcross.operators.MembershipSettings;
@@ -59,29 +58,37 @@
     /** Accepts clients no faster than evicted ones make room, so that file descriptors never run out. */
     private static final class Acceptor extends NioSocketAcceptor {
         private static final int MAX_ACCEPT_DELAY_MS = 50;
-        volatile int maxClients;
+        private final DescriptorBudget descriptors;
         volatile double lastAcceptedAt;
-        private final AtomicInteger openClients = new AtomicInteger();
 
-        Acceptor(Executor threads, IoProcessor<NioSession> processor) {
+        Acceptor(Executor threads, IoProcessor<NioSession> processor, DescriptorBudget descriptors) {
             super(threads, processor);
+            this.descriptors = descriptors;
         }
 
         @Override protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel from)
             throws Exception {
-            for (int i = 0; openClients.get() >= maxClients && i < MAX_ACCEPT_DELAY_MS; i++) Thread.sleep(1);
-            NioSession session = openClients.get() >= maxClients ? null : super.accept(processor, from);
+            boolean taken = descriptors.tryTakeForClient();
+            for (int i = 0; !taken && i < MAX_ACCEPT_DELAY_MS; i++) {
+                Thread.sleep(1);
+                taken = descriptors.tryTakeForClient();
+            }
+            if (!taken) return null;
+            NioSession session = null;
+            try {
+                session = super.accept(processor, from);
+            } finally {
+                if (session == null) descriptors.clientClosed();
+            }
             if (session == null) return null;
             lastAcceptedAt = System.currentTimeMillis();
-            openClients.incrementAndGet();
-            session.getCloseFuture().addListener(future -> openClients.decrementAndGet());
+            session.getCloseFuture().addListener(future -> descriptors.clientClosed());
             return session;
         }
     }
 
     private void applyLimits() {
         dispatcher.setLimits(config.sockets, config.memoryMb);
-        acceptor.maxClients = config.sockets * 11 / 16 + 1;
     }
 
     /** A director without persistent membership and without route rules. */
@@ -111,8 +118,8 @@
         });
         processor = new Processor(threads);
         connector = new NioSocketConnector(threads, processor);
-        acceptor = new Acceptor(threads, processor);
         dispatcher = new Dispatcher(config.directorSettings, connector, config.maxHops);
+        acceptor = new Acceptor(threads, processor, dispatcher.descriptors);
         applyLimits();
         persistentMembership = membershipSettings == null ? null : new PersistentMembership(dispatcher,
             membershipSettings.ages(),
--- a/src/main/java/mothcross/net/Dispatcher.java
+++ b/src/main/java/mothcross/net/Dispatcher.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Predicate;
 import mothcross.DecisionWriter;
@@ -34,7 +33,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Dispatcher.class);
     /** How long after a lookup's deadline it is failed here, if the director has not answered it. */
     private static final double FALLBACK_DELAY_MS = 20;
-    private static final int MAX_CONNECTIONS_PER_NODE = 8;
     private static final int INITIAL_LOOKUPS = 64;
 
     final ReentrantLock lock = new ReentrantLock();
@@ -58,8 +56,8 @@
     boolean exposePlan;
     /** Null if nothing observes hops. */
     private HopObserver hopObserver;
-    /** Every connection to a node that is up or being made; a connection removes itself when it closes. */
-    final Set<NodeConnection> nodeConnections = new LinkedHashSet<>();
+    final DescriptorBudget descriptors = new DescriptorBudget();
+    final NodeConnections nodeConnections = new NodeConnections(descriptors, counters);
     /** Completed hops that the director has not been told of; empty whenever the lock is free. */
     private final ArrayDeque<Hop> completedHops = new ArrayDeque<>();
     /** Clients whose next pipelined request can be read; empty whenever the lock is free. */
@@ -67,7 +65,6 @@
     /** In the order of arrival; bounded by the descriptors that the director is given. */
     private final LinkedHashSet<ClientConnection> clients = new LinkedHashSet<>();
     private int maxClients;
-    private int maxNodeSockets;
     /** Bounds separately what all clients have left unread and what they have sent ahead of their turn. */
     private long maxBufferedBytes;
     /** Bytes that clients have sent ahead of their turn (pipelined), and the bodies of open lookups. */
@@ -88,13 +85,10 @@
         this.answerTimes = new AnswerTimes(settings.workloadTable.length);
     }
 
-    /**
-     * Sets the limits that follow from the process's descriptors and memory. Clients usually hold a third of the
-     * descriptors at most; connections to nodes and the process itself need three eighths.
-     */
+    /** Sets the limits that follow from the process's descriptors and memory. */
     void setLimits(int sockets, double memoryMb) {
-        maxClients = sockets * 5 / 8;
-        maxNodeSockets = sockets / 6;
+        descriptors.setLimit(sockets);
+        maxClients = descriptors.maxServedClients();
         maxBufferedBytes = (long) (memoryMb * (1 << 20) / 8);
     }
 
@@ -150,7 +144,7 @@
         while (true) {
             if (!completedHops.isEmpty()) processBatch(this::deliverCompletedHops);
             else if (!resumableClients.isEmpty()) resumableClients.poll().resume();
-            else return;
+            else if (sendingStopped || !nodeConnections.openWaiting() && completedHops.isEmpty()) return;
         }
     }
 
@@ -421,11 +415,6 @@
         nodes.nodeListed(to, id, address, zone, kind, cell, status, units, startedAt);
     }
 
-    /** How many connections a node may have: the more, the less fails with one of them; descriptors bound it. */
-    int connectionsPerNode() {
-        return Math.max(1, Math.min(MAX_CONNECTIONS_PER_NODE, maxNodeSockets / nodes.listedCount()));
-    }
-
     void listFinished(Director to) {
         nodes.listFinished(to);
         withdrawHops(hop -> !usable(hop.node) || !usable(hop.source));
@@ -446,7 +435,7 @@
 
     /** Returns hops that still wait for a connection to the director, which decides anew with the latest news. */
     private void withdrawHops(Predicate<Hop> affected) {
-        for (NodeConnection connection : nodeConnections) connection.withdraw(affected);
+        nodeConnections.withdraw(affected);
     }
 
     void probeCompleted(Node node, int outcome, double spentMs, double[] report) {
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -60,6 +60,7 @@
     private Hop lastWritten;
     private boolean awaitingWrite;
     private long probeCount;
+    /** Null while the connection waits for a descriptor. */
     ConnectFuture connectFuture;
     private boolean up;
     private boolean ended;
@@ -183,15 +184,28 @@
         super(dispatcher);
         this.node = node;
         node.connections.add(this);
-        dispatcher.nodeConnections.add(this);
+        lastUsedAt = dispatcher.clock();
+        dispatcher.timers.set(connectTimeout, lastUsedAt + dispatcher.settings.connectMs);
+        dispatcher.nodeConnections.open(this);
+    }
+
+    /** Starts to connect; a descriptor has been taken for it, which is released when the socket is closed. */
+    void connect() {
         dispatcher.counters.connects++;
         dispatcher.timers.set(connectTimeout, dispatcher.clock() + dispatcher.settings.connectMs);
         connectFuture = dispatcher.connector.connect(node.address, (session, future) -> bindSession(session));
         connectFuture.addListener(future -> {
-            if (connectFuture.getException() != null) dispatcher.runLocked(this::closed);
+            if (connectFuture.getException() != null) dispatcher.runLocked(this::connectFailed);
+            else connectFuture.getSession().getCloseFuture().addListener(closed -> dispatcher.runLocked(
+                () -> dispatcher.nodeConnections.descriptorReleased(this)));
         });
     }
 
+    private void connectFailed() {
+        dispatcher.nodeConnections.descriptorReleased(this);
+        closed();
+    }
+
     /**
      * Selects the least loaded connection to a node, with those that are up first. If even that one has load, one
      * more connection is opened for later hops.
@@ -206,7 +220,8 @@
             connecting |= !candidate.up;
         }
         boolean needsMore = best != null && best.load() > 0 && !connecting;
-        if (needsMore && node.connections.size() < dispatcher.connectionsPerNode()) {
+        int maxConnections = dispatcher.nodeConnections.maxPerNode(dispatcher.nodes.listedCount());
+        if (needsMore && node.connections.size() < maxConnections && dispatcher.nodeConnections.hasSpare()) {
             new NodeConnection(dispatcher, node);
         }
         return best != null ? best : new NodeConnection(dispatcher, node);
@@ -229,6 +244,20 @@
         return inFlight.size() + waiting.size() + probes.size();
     }
 
+    /** Whether nothing is open on it or waits for it. */
+    boolean isUnused() {
+        return load() == 0;
+    }
+
+    /** Whether it can be closed without ending anything. */
+    boolean isIdle() {
+        return up && !ended && !retired && isUnused();
+    }
+
+    double lastUsedAt() {
+        return lastUsedAt;
+    }
+
     /** The number of hops that wait for the connection to come up or for the previous write to complete. */
     int waitingHops() {
         return waiting.size();
@@ -367,7 +396,7 @@
     @Override void closed() {
         if (ended) return;
         ended = true;
-        dispatcher.nodeConnections.remove(this);
+        dispatcher.nodeConnections.ended(this);
         node.connections.remove(this);
         dispatcher.timers.cancel(readTimeout);
         dispatcher.timers.cancel(connectTimeout);
@@ -399,7 +428,8 @@
             // A write that is still being made while we close may yet go out. Only a hop whose write has failed is
             // known not to have been executed.
             boolean mayHaveRun = hop.writeFuture != null && (hop.writeFuture.isWritten() || !hop.writeFuture.isDone());
-            dispatcher.endHop(hop, mayHaveRun ? Director.CONNECTION_LOST : Director.CONNECT_FAILED);
+            int notExecuted = connectFuture == null ? Director.NOT_SENT : Director.CONNECT_FAILED;
+            dispatcher.endHop(hop, mayHaveRun ? Director.CONNECTION_LOST : notExecuted);
         }
         hops.clear();
     }
--- a/src/test/java/mothcross/net/ConnectGivenUpTest.java
+++ b/src/test/java/mothcross/net/ConnectGivenUpTest.java
@@ -43,10 +43,10 @@
         Outside secondClient = Outside.client("b", director.port());
         try {
             client.write("GET /api/v2/books/0a HTTP/1.1|Req-Id: 00000000000000a1|Req-Wait-Ms: 20000||", false);
-            Fleet.awaitTrue("it connects", () -> !dispatcher.nodeConnections.isEmpty());
+            Fleet.awaitTrue("it connects", () -> !dispatcher.nodeConnections.all.isEmpty());
             dispatcher.enter();
             try {
-                NodeConnection connecting = dispatcher.nodeConnections.iterator().next();
+                NodeConnection connecting = dispatcher.nodeConnections.all.iterator().next();
                 // The thread of all sockets waits for the lock while the system completes the connection.
                 secondClient.write("GET /-/healthy HTTP/1.1||", false);
                 while (!processorWaitsForLock(dispatcher)) Thread.sleep(POLL_MS);
--- a/src/test/java/mothcross/net/DrainPathsTest.java
+++ b/src/test/java/mothcross/net/DrainPathsTest.java
@@ -300,7 +300,7 @@
     private static int waits(DirectorServer life) {
         life.dispatcher().enter();
         try {
-            return life.dispatcher().nodeConnections.stream().mapToInt(NodeConnection::waitingHops).sum();
+            return life.dispatcher().nodeConnections.all.stream().mapToInt(NodeConnection::waitingHops).sum();
         } finally {
             life.dispatcher().leave();
         }
--- a/src/test/java/mothcross/net/Fleet.java
+++ b/src/test/java/mothcross/net/Fleet.java
@@ -82,7 +82,7 @@
     String startupConfigText(String name) throws Exception {
         Map<String, String> parameters = new LinkedHashMap<>(configParameters);
         parameters.put("list", "");
-        parameters.put("sockets", "400");
+        parameters.putIfAbsent("sockets", "400");
         parameters.put("bulletin", Integer.toString(discovery.port()));
         String text = Files.readString(Path.of(Fleet.class.getResource("/told.json").toURI()));
         String json = Pattern.compile("\\$\\{(\\w+)=?([^}]*)}").matcher(text)
