The slow start budget no longer follows a size that nobody has proven

Cause: CacheDirector.lookup() took the size of a class's first lookup as the mean transfer time, whatever became of that lookup. SlowStartBudget.charge() takes that mean for every lookup, next to nothing here.

Change: TransferTimeEstimate holds the mean of a class. Before the first success lookups stand in that have not failed; a size is taken back once its lookup ends without being served, and a lookup is charged at least its own claim.

--- a/src/main/java/mothcross/CacheDirector.java
+++ b/src/main/java/mothcross/CacheDirector.java
@@ -21,7 +21,6 @@
     private static final double HEDGE_TRANSFER_TIMES = 1.5;
     private static final double UTILIZATION_SMOOTHING = 0.2;
     private static final double BAD_FILL_SMOOTHING = 0.05;
-    private static final double MEAN_TRANSFER_SMOOTHING = 0.02;
     /** An alternative source must be faster than the ranked one by more than this factor. */
     private static final double SOURCE_SWITCH_PACE_FACTOR = 2;
     private static final double RETRY_AFTER_MIN_SHARE = 0.2;
@@ -51,8 +50,8 @@
     private final RetryBudget provingBudget = new RetryBudget();
     private final RetryBudget hedgeBudget = new RetryBudget();
     private final SendGuard guard = new SendGuard();
-    /** Mean transfer time by workload. */
-    private final double[] meanTransferMs;
+    /** By workload. */
+    private final TransferTimeEstimate[] transferTimes;
     /** Share of recent fills that were late or failed, by workload. */
     private final double[] badFillShare;
     /** By the caller's index; indices are used again, so the array stays small. */
@@ -77,7 +76,7 @@
         this.capabilities = capabilities;
         this.siteParameters = siteParameters;
         hedgeBudget.tokens = 0;
-        this.meanTransferMs = new double[workloads.length];
+        this.transferTimes = Arrays.stream(workloads).map(TransferTimeEstimate::new).toArray(TransferTimeEstimate[]::new);
         this.badFillShare = new double[workloads.length];
         this.purges = new PurgeTracker(purgeTakesMs);
         int directorsInZone = Math.max(1, topology.directorsPerZone()[topology.ownZone()]);
@@ -121,14 +120,12 @@
         lookup.sizeKnown = sizeKb > 0 && siteParameters.flowKbPerMs() > 0;
         lookup.transferMs = lookup.sizeKnown
             ? sizeKb / siteParameters.flowKbPerMs()
-            : meanTransferMs[workloadIndex];
+            : transferTimes[workloadIndex].meanMs();
         lookup.targetAt = Math.min(expires,
             now + workload.targetMs() + workload.targetSizeFactor() * lookup.transferMs);
         lookup.open = true;
         lookup.uncacheable = workload.uncacheable() || write;
-        if (lookup.sizeKnown && meanTransferMs[workloadIndex] == 0) {
-            meanTransferMs[workloadIndex] = Math.min(lookup.transferMs, workload.timeoutMs());
-        }
+        if (lookup.sizeKnown) transferTimes[workloadIndex].recordClaim(lookup.transferMs);
         // Without sizes each object counts as 1, so that the admission's c and K are in objects.
         lookup.sizeKb = sizeKb > 0 ? sizeKb : 1;
         if (!lookup.uncacheable && admission.admits(lookup.sizeKb)) lookup.rank = Admission.MIDDLE_RANK;
@@ -228,7 +225,7 @@
             attributeFailure(lookup, hop, outcome, note);
         }
         if (last || outcome == SUCCEEDED) {
-            lookup.open = false;
+            close(lookup, outcome == SUCCEEDED);
             guard.cancelOutstandingHops(lookup);
         }
         if (!lookup.open || lookup.streaming || lookup.hopsInFlight > 0) return;
@@ -243,24 +240,22 @@
     }
 
     private void recordSuccess(Lookup lookup, Hop hop, int hopIndex, int note, double spent, double sourceWait) {
-        int workloadIndex = lookup.workloadIndex;
+        // Only lookups that succeed feed the means and confirm the errors before them: malformed ones never succeed.
+        TransferTimeEstimate transferTime = transferTimes[lookup.workloadIndex];
+        transferTime.recordSuccess(lookup.sizeKnown ? lookup.transferMs : spent);
         hop.node.failuresInRow = 0;
-        slowStartOf(hop.node).recordCompleted(hop.node, meanTransferMs[workloadIndex]);
+        slowStartOf(hop.node).recordCompleted(hop.node, transferTime.meanMs());
         boolean filled = note == FILLED || note == FILLED_BY_ORIGIN;
         boolean delayedByOrigin = note == FILLED_BY_ORIGIN && now > lookup.targetAt && sourceWait > spent / 2;
         if (note == FILLED_BY_ORIGIN) originThrottle.recordFill(delayedByOrigin ? 1 : 0);
         if (filled) {
             if (!hop.sourceCacheOnly && now <= lookup.targetAt) hop.source.failuresInRow = 0;
-            slowStartOf(hop.source).recordCompleted(hop.source, meanTransferMs[workloadIndex]);
+            slowStartOf(hop.source).recordCompleted(hop.source, transferTime.meanMs());
         }
         if (!lookup.uncacheable && hopIndex == 0 && hop.node.tier == Tier.CACHE && note != 0) {
             admission.cacheAnswers++;
             if (note == HIT || note == STALE_HIT) admission.cacheHits++;
         }
-        // Only lookups that succeed feed the means and confirm the errors before them: malformed ones never succeed.
-        double mean = meanTransferMs[workloadIndex];
-        double weight = mean == 0 ? 1 : MEAN_TRANSFER_SMOOTHING;
-        meanTransferMs[workloadIndex] += weight * ((lookup.sizeKnown ? lookup.transferMs : spent) - mean);
         if (!lookup.uncacheable) admission.recordRequest(lookup.objectKey, lookup.sizeKb);
         for (int i = 0; i < lookup.hopCount; i++) {
             if (lookup.hops[i].unexplainedError) health.recordFailure(lookup.hops[i].node, ERROR);
@@ -326,10 +321,18 @@
 
     @Override public void clientDisconnected(int index) {
         Lookup lookup = lookups[index];
-        lookup.open = false;
+        close(lookup, false);
         guard.cancelOutstandingHops(lookup);
     }
 
+    /** Nothing more is sent for the lookup. The size that its client gave counts no longer if it was not served. */
+    private void close(Lookup lookup, boolean served) {
+        if (lookup.open && lookup.sizeKnown && !served) {
+            transferTimes[lookup.workloadIndex].retractClaim(lookup.transferMs);
+        }
+        lookup.open = false;
+    }
+
     @Override public void timerFired(long name) {
         int index = (int) Math.min(name - FIRST_HEDGE_TIMER, lookups.length - 1);
         if (index >= 0 && lookups[index] != null) hedge(lookups[index]);
@@ -491,7 +494,7 @@
         /** Token bucket of the slow start, in ms of transfer. */
         double tokens;
         double tokensAt;
-        /** Share of a mean lookup that is still to be taken off the bucket, so that directors start out of phase. */
+        /** Share of a lookup's tokens that is held back in the bucket, so that directors are out of phase. */
         double phase;
         /** Recent load from this director, in flows. */
         double loadFlows;
@@ -703,7 +706,7 @@
                 if (tried(lookup, node, asSource)) continue;
                 if (requirement != Requirement.ANY && !health.isUsable(node)) continue;
                 if (requirement == Requirement.IN_TIME && !node.link.canMeetTarget(lookup)) continue;
-                if (!(asSource ? guard.mayFillFrom(node) : guard.maySendTo(lookup, node))) continue;
+                if (!(asSource ? guard.mayFillFrom(lookup, node) : guard.maySendTo(lookup, node))) continue;
                 double uniform = ((mix(node.hash ^ lookupHash) >>> 11) + 0.5) * 0x1p-53;
                 double score = -node.units / Math.log(uniform);
                 // Guards against an old list: unconfirmed nodes rank behind all that are known to be in service.
@@ -904,8 +907,8 @@
             return node.status == UNCONFIRMED || node.startedAt != 0 && now - node.startedAt < limits.warmUpMs();
         }
 
-        /** Refills the node's bucket; false where it has no tokens for another lookup. */
-        boolean permits(Node node) {
+        /** Refills the node's bucket; false where it has no tokens for this lookup. */
+        boolean permits(Node node, Lookup lookup) {
             if (!isWarmingUp(node)) return true;
             // Guards against a start that is not reported: an unconfirmed node may have started just now.
             double warmth = node.status == UNCONFIRMED
@@ -914,22 +917,23 @@
             double share = limits.initialShare() + (1 - limits.initialShare()) * warmth;
             double flows = SAFETY_FACTOR * limits.overloadFactor() * share * ownCapacityFlows(node);
             double maxTokens = MAX_SAVED_WINDOW_SHARE * flows * limits.overloadWindowMs();
-            double lookupMs = Arrays.stream(meanTransferMs).max().getAsDouble();
-            // Guards against directors that start together with the node, and learn only now how long a lookup takes.
-            node.tokens += flows * (now - node.tokensAt) - node.phase * lookupMs;
+            double lookupMs = Math.max(transferTimes[lookup.workloadIndex].chargeMs(lookup.transferMs),
+                Arrays.stream(transferTimes).mapToDouble(TransferTimeEstimate::expectedMs).max().getAsDouble());
+            node.tokens = Math.max(node.tokens, -lookupMs) + flows * (now - node.tokensAt);
             node.tokensAt = now;
-            if (lookupMs > 0) node.phase = 0;
-            if (node.tokens > maxTokens && lookupMs > 0) {
-                node.tokens -= lookupMs * Math.ceil((node.tokens - maxTokens) / lookupMs);
-            }
-            return node.tokens > 0;
+            // Guards against directors that start together with the node, and learn only now how long a lookup takes.
+            double heldBack = node.phase * lookupMs;
+            double excess = node.tokens - heldBack - maxTokens;
+            if (excess > 0 && lookupMs > 0) node.tokens -= lookupMs * Math.ceil(excess / lookupMs);
+            return node.tokens > heldBack;
         }
 
         /** Takes a lookup's transfer time from the bucket and returns what was taken. */
-        double charge(Node node, double transferMs) {
+        double charge(Node node, Lookup lookup) {
             if (!isWarmingUp(node)) return 0;
-            node.tokens -= transferMs;
-            return transferMs;
+            double chargeMs = transferTimes[lookup.workloadIndex].chargeMs(lookup.transferMs);
+            node.tokens -= chargeMs;
+            return chargeMs;
         }
 
         void recordCompleted(Node node, double transferMs) {
@@ -988,7 +992,7 @@
         boolean maySendTo(Lookup lookup, Node node) {
             if (!lookup.open || lookup.streaming || now >= lookup.expires) return false;
             if (lookup.hopCount >= lookup.hops.length) return false;
-            if (!acceptsMore(node)) return false;
+            if (!acceptsMore(node, lookup)) return false;
             if (lookup.hopsInFlight > 0 && !capabilities.hedging()) return false;
             if (lookup.workload.effect() == Workload.Effect.IDEMPOTENT) return true;
             Hop executed = possiblyExecutedHop(lookup);
@@ -1003,14 +1007,14 @@
         }
 
         /** Rules 3 and 4 for a source. */
-        boolean mayFillFrom(Node node) {
-            return acceptsMore(node);
+        boolean mayFillFrom(Lookup lookup, Node node) {
+            return acceptsMore(node, lookup);
         }
 
         /** An unconfirmed node gets one hop at a time, until the caller reports it as in service. */
-        private boolean acceptsMore(Node node) {
+        private boolean acceptsMore(Node node, Lookup lookup) {
             boolean listed = node.status == IN_SERVICE || node.status == UNCONFIRMED && node.link.ownInFlight < 1;
-            return listed && slowStartOf(node).permits(node);
+            return listed && slowStartOf(node).permits(node, lookup);
         }
 
         private Hop possiblyExecutedHop(Lookup lookup) {
@@ -1022,7 +1026,7 @@
 
         /** Sends a hop; false where a rule forbids it. A source equal to the node means no fill. */
         boolean send(Lookup lookup, Node node, Node source, double deadline) {
-            if (!maySendTo(lookup, node) || source != node && !mayFillFrom(source)) return false;
+            if (!maySendTo(lookup, node) || source != node && !mayFillFrom(lookup, source)) return false;
             Hop hop = recordHop(lookup, node, source);
             double purgeAge = purges.maxCopyAgeMs(lookup);
             double maxAge = maxCopyAgeMs(lookup, hop, purgeAge);
@@ -1044,7 +1048,6 @@
         }
 
         private Hop recordHop(Lookup lookup, Node node, Node source) {
-            double transferMs = meanTransferMs[lookup.workloadIndex];
             Hop hop = new Hop();
             lookup.hops[lookup.hopCount++] = hop;
             hop.node = node;
@@ -1054,8 +1057,8 @@
                 && (lookup.hedging || !(health.isUsable(source) && originThrottle.permits()));
             hop.usesZoneLink = node.tier != Tier.CACHE || source != node;
             if (hop.usesZoneLink) zoneLink.addInFlight(1);
-            slowStartOf(node).charge(node, transferMs);
-            if (source != node) hop.sourceTokens = slowStartOf(source).charge(source, transferMs);
+            slowStartOf(node).charge(node, lookup);
+            if (source != node) hop.sourceTokens = slowStartOf(source).charge(source, lookup);
             lookup.hopsInFlight++;
             lookup.hedgeAt = lookup.targetAt - HEDGE_TRANSFER_TIMES * lookup.transferMs;
             if (lookup.hopCount == 1 && capabilities.hedging() && hedgeBudget.tokens >= 1 && lookup.hedgeAt > now) {
@@ -1091,7 +1094,7 @@
         /** Rule 1: gives the one final answer, a rejection wherever a retry by the client does no harm. */
         void finish(Lookup lookup) {
             if (!lookup.open) return;
-            lookup.open = false;
+            close(lookup, false);
             Workload workload = lookup.workload;
             boolean safeToRetry = workload.effect() == Workload.Effect.IDEMPOTENT
                 || possiblyExecutedHop(lookup) == null
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -101,7 +101,8 @@
         s.append("; clients: slow to ask ").append(slowHead).append(", left idle ").append(idle);
         s.append(", slow readers ").append(slowReaders).append(", crowded ").append(evicted);
         s.append(", too far ahead ").append(readAheadTruncated).append(", crossed ").append(receivedAfterClose);
-        s.append("; descriptors: awaited ").append(awaitedDescriptor).append(", closed for room ").append(closedForRoom);
+        s.append("; descriptors: awaited ").append(awaitedDescriptor);
+        s.append(", closed for room ").append(closedForRoom);
         if (notCurrent > 0) s.append("; not current ").append(notCurrent);
         s.append("; reloads ").append(reloads).append(", warnings kept back ").append(suppressedWarnings);
         warnings = 0;
--- a/src/test/java/mothcross/ColdSumTest.java
+++ b/src/test/java/mothcross/ColdSumTest.java
@@ -4,6 +4,7 @@
 
 import java.util.*;
 import java.util.stream.LongStream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -52,11 +53,14 @@
     private static final class LookupState {
         final int workload;
         final double transferMs;
+        /** Nodes answer it with an error. */
+        final boolean malformed;
         int attempts;
 
-        LookupState(int workload, double transferMs) {
+        LookupState(int workload, double transferMs, boolean malformed) {
             this.workload = workload;
             this.transferMs = transferMs;
+            this.malformed = malformed;
         }
     }
 
@@ -65,18 +69,37 @@
         long[] seeds = LongStream.concat(LongStream.of(REGRESSION_SEEDS),
             LongStream.rangeClosed(1, Integer.getInteger("histories", 4))).toArray();
         for (int directors : new int[] {3, 20, 30, 100, 272}) {
-            for (Restarts restarts : Restarts.values()) playAll(directors, restarts, seeds, overloads);
+            for (Restarts restarts : Restarts.values()) playAll(directors, restarts, 0, seeds, overloads);
         }
         assertTrue(overloads.length() == 0, overloads.toString());
     }
 
-    private static void playAll(int directors, Restarts restarts, long[] seeds, StringBuilder overloads) {
+    /**
+     * Guards against a budget that follows sizes nobody has proven: one malformed request of a false size, right after a
+     * director's start, made its lookups seem to cost next to nothing, or would make them seem to cost too much.
+     */
+    @Test(dataProvider = "falseTransferTimes")
+    public void falseSizesDoNotChangeTheBudget(double falseTransferMs) {
+        StringBuilder overloads = new StringBuilder();
+        long[] seeds = LongStream.rangeClosed(1, Integer.getInteger("histories", 4)).toArray();
+        for (int directors : new int[] {3, 20, 100}) {
+            playAll(directors, Restarts.WITH_THE_NODES, falseTransferMs, seeds, overloads);
+        }
+        assertTrue(overloads.length() == 0, overloads.toString());
+    }
+
+    @DataProvider public Object[][] falseTransferTimes() {
+        return new Object[][] {{0.0001}, {TIMEOUT_MS}};
+    }
+
+    private static void playAll(int directors, Restarts restarts, double falseTransferMs, long[] seeds,
+                                StringBuilder overloads) {
         double largestLoad = 0;
         double used = 0;
         double allowed = 0;
         long attempts = 0;
         for (long seed : seeds) {
-            Fleet fleet = new Fleet(seed, directors, restarts);
+            Fleet fleet = new Fleet(seed, directors, restarts, falseTransferMs);
             fleet.play();
             attempts += fleet.attempts;
             for (Node node : fleet.nodes) {
@@ -91,8 +114,8 @@
             }
         }
         System.out.printf(
-            "%d directors, restarts %s: %d attempts, largest load %.2f of the budget, in all %.2f of it%n",
-            directors, restarts, attempts, largestLoad, used / allowed);
+            "%d directors, restarts %s, false %.4f: %d attempts, largest load %.2f of the budget, in all %.2f of it%n",
+            directors, restarts, falseTransferMs, attempts, largestLoad, used / allowed);
         assertTrue(used / allowed > 0.1, "the slow start is too careful: " + used / allowed);
     }
 
@@ -112,6 +135,8 @@
         final int directorCount;
         final int caches;
         final Restarts restarts;
+        /** What the first lookup of each workload at each director claims to take, and fails; 0 for no such lookup. */
+        final double falseTransferMs;
         final CacheDirector[] directors;
         final Node[] nodes;
         /** The lookups of each director, by their index there. */
@@ -120,7 +145,8 @@
         long attempts;
         double now;
 
-        Fleet(long seed, int directorCount, Restarts restarts) {
+        Fleet(long seed, int directorCount, Restarts restarts, double falseTransferMs) {
+            this.falseTransferMs = falseTransferMs;
             random = new SplittableRandom(seed);
             this.directorCount = directorCount;
             this.restarts = restarts;
@@ -176,6 +202,18 @@
             directors[index] = newDirector();
             lookups.set(index, new ArrayList<>());
             process(index, to -> deliverList(to, nodesStartedAt, Director.LIST_RESTORED));
+            for (int workload = 0; workload < WORKLOADS && falseTransferMs > 0; workload++) {
+                lookup(index, workload, falseTransferMs, true);
+            }
+        }
+
+        private void lookup(int director, int workload, double transferMs, boolean malformed) {
+            List<LookupState> own = lookups.get(director);
+            int index = own.size();
+            own.add(new LookupState(workload, transferMs, malformed));
+            long object = random.nextInt(500);
+            process(director, to -> to.lookup(index, workload, now + TIMEOUT_MS, object, 0, 0, 10 * transferMs, false,
+                false));
         }
 
         private void process(int index, EventBatch events) {
@@ -232,12 +270,7 @@
         private void lookupLater(int director, int workload, double meanIntervalMs) {
             at(now - meanIntervalMs * Math.log(1 - random.nextDouble()), () -> {
                 double transferMs = meanMs[workload] * Math.exp(sigma * gaussian() - sigma * sigma / 2);
-                List<LookupState> own = lookups.get(director);
-                int index = own.size();
-                own.add(new LookupState(workload, transferMs));
-                long object = random.nextInt(500);
-                process(director, to -> to.lookup(index, workload, now + TIMEOUT_MS, object, 0, 0, 10 * transferMs,
-                    false, false));
+                lookup(director, workload, transferMs, false);
                 lookupLater(director, workload, meanIntervalMs);
             });
         }
@@ -305,13 +338,18 @@
                 boolean fills = source != node && random.nextDouble() < 0.4;
                 recordArrival(nodes[node], state.workload);
                 if (fills) recordArrival(nodes[source], state.workload);
-                at(now + LATENCY_MS + state.transferMs, () -> {
+                double tookMs = LATENCY_MS + (state.malformed ? 0 : state.transferMs);
+                at(now + tookMs, () -> {
                     if (!isRunning()) return;
+                    if (state.malformed) {
+                        process(index, to -> to.hopEnded(lookup, hop, node, Director.ERROR, false, 0, tookMs, 0, null));
+                        return;
+                    }
                     boolean miss = source == node && node < caches && random.nextDouble() < 0.3;
                     int outcome = miss ? Director.MISS : Director.SUCCEEDED;
                     int note = miss ? 0 : fills ? Director.FILLED : Director.HIT;
                     process(index, to -> to.hopEnded(lookup, hop, node, outcome, !miss, note,
-                        LATENCY_MS + state.transferMs, 0, null));
+                        tookMs, 0, null));
                 });
             }
 
