Memory is bounded by the arrays that are held, and by the heap that there is

Cause: what was counted was not what was held. An array of received bytes was shortened only when further bytes came, not by resume(), so that a client at rest kept up to 131,000 bytes; the guard counted unread bytes against an eighth of the memory told (24 MB), whatever the heap (64 MB); answers being received were allocated whole and not counted.

Change: Connection.consume() is the one place where received bytes are processed, and releases what the rest does not need; arrays double instead of being copied for each piece. MemoryBudget counts arrays and answers against shares of the memory told or the heap, whichever is less. AnswerBuffer allocates an answer in chunks as it comes. Past their budgets a client is left its equal share, new lookups are refused, and at last an answer is given up.

ConnectGivenUpTest and others are unchanged; EndingsTest reads the counted bytes under their new name.

--- a/src/main/java/mothcross/CacheDirector.java
+++ b/src/main/java/mothcross/CacheDirector.java
@@ -76,7 +76,8 @@
         this.capabilities = capabilities;
         this.siteParameters = siteParameters;
         hedgeBudget.tokens = 0;
-        this.transferTimes = Arrays.stream(workloads).map(TransferTimeEstimate::new).toArray(TransferTimeEstimate[]::new);
+        this.transferTimes = Arrays.stream(workloads).map(TransferTimeEstimate::new)
+            .toArray(TransferTimeEstimate[]::new);
         this.badFillShare = new double[workloads.length];
         this.purges = new PurgeTracker(purgeTakesMs);
         int directorsInZone = Math.max(1, topology.directorsPerZone()[topology.ownZone()]);
--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -94,13 +94,15 @@
     private boolean idleSuspected;
     /** Whether bytes sent ahead were dropped, so that nothing after them can be read. */
     private boolean readAheadTruncated;
+    /** How many bytes were not consumed when they were received last. */
+    private int unreadBytes;
     /** Of the latest answer. */
     private WriteFuture lastWrite;
     /** How many bytes of an incomplete head have been searched for its end. */
     private int scannedBytes;
     private int discardedBytes;
     private Awaited awaited = Awaited.NOTHING;
-    /** This connection's part of {@link Dispatcher#readAheadBytes}, without the body of an open lookup. */
+    /** This connection's part of {@link Dispatcher#unreadMemory}, without the body of an open lookup. */
     private int countedBytes;
     private double idleSince;
 
@@ -156,7 +158,7 @@
         state = State.CLOSED;
         dispatcher.timers.cancel(timeout);
         dispatcher.clientClosed(this);
-        countReadAhead(0);
+        bufferChanged(0);
         if (lookup != null) {
             Lookup abandoned = lookup;
             lookup = null;
@@ -205,10 +207,11 @@
         if (lookup == null && remaining() == 0) shutDown();
     }
 
-    /** Updates the number of unprocessed bytes held here; the dispatcher limits their sum over all clients. */
-    private void countReadAhead(int bytes) {
-        dispatcher.readAheadBytes += bytes - countedBytes;
-        countedBytes = bytes;
+    /** Counts the array that holds unprocessed bytes; the dispatcher limits their sum over all clients. */
+    @Override void bufferChanged(int heldBytes) {
+        int held = state == State.CLOSED ? 0 : heldBytes;
+        dispatcher.unreadMemory.add(held - countedBytes);
+        countedBytes = held;
     }
 
     /** A request may have been received and not been read yet, if the process had no CPU for a while: waits for it. */
@@ -219,7 +222,7 @@
 
     /** Reads the next pipelined request after an answer. */
     void resume() {
-        if (state == State.OPEN) received();
+        if (state == State.OPEN) consume();
     }
 
     @Override void received() {
@@ -230,7 +233,7 @@
             state = State.CLOSED;
         }
         idleSuspected = false;
-        if (readAheadTruncated) to = from + countedBytes;   // nothing after the dropped bytes can be read
+        if (readAheadTruncated) to = from + unreadBytes;    // nothing after the dropped bytes can be read
         readRequests();
         if (state != State.OPEN) {                          // the last answer is being written
             discardedBytes += remaining();
@@ -252,7 +255,7 @@
             idleSince = dispatcher.clock();
             dispatcher.timers.set(timeout, idleSince + IDLE_TIMEOUT_MS);
         }
-        countReadAhead(remaining());
+        unreadBytes = remaining();
     }
 
     /**
@@ -260,12 +263,12 @@
      * disconnected is seen only after everything it has sent.
      */
     private void truncateReadAhead() {
-        int maxBytes = dispatcher.readAheadLimitExceeded()
-            ? MAX_HEAD_BYTES + MAX_READ_BODY_BYTES : MAX_READ_AHEAD_BYTES;
+        int maxBytes = Math.min(MAX_READ_AHEAD_BYTES, dispatcher.maxUnreadBytes());
         if (remaining() <= maxBytes) return;
         if (!readAheadTruncated) dispatcher.counters.readAheadTruncated++;
         readAheadTruncated = true;
         to = from + maxBytes;
+        trim(1);
     }
 
     private void readRequests() {
@@ -275,6 +278,7 @@
             int headEnd = findHeadEnd();
             if (headEnd < 0) {
                 if (remaining() > MAX_HEAD_BYTES) refuseLongHead();
+                else refuseIfTooLarge();
                 return;
             }
             if (headEnd - from > MAX_HEAD_BYTES) {
@@ -289,10 +293,7 @@
                 return;
             }
             if (to - headEnd < bodyLength) {            // the rest of the body is still to come
-                // Guards against many large bodies at once, which would fill the memory while incomplete.
-                boolean large = dispatcher.readAheadLimitExceeded()
-                    && remaining() > MAX_HEAD_BYTES + MAX_READ_BODY_BYTES;
-                if (large) refuseRequest("503 Service Unavailable");
+                refuseIfTooLarge();
                 return;
             }
             scannedBytes = 0;
@@ -302,6 +303,13 @@
         }
     }
 
+    /** Guards against many incomplete requests at once, which would fill the memory. */
+    private void refuseIfTooLarge() {
+        if (remaining() <= dispatcher.maxUnreadBytes()) return;
+        dispatcher.counters.outOfMemory++;
+        refuseRequest("503 Service Unavailable");
+    }
+
     private void refuseLongHead() {
         dispatcher.counters.longHead++;
         refuseRequest("431 Request Header Fields Too Large");
@@ -476,6 +484,12 @@
         String clientEtag = etagStart < 0 ? null : Bytes.decode(bytes, etagStart, etagEnd);
         String requestFields = requestFields(name, objectStart, objectEnd, hasPart, part, clientEtag);
         plan = -1;
+        if (dispatcher.memoryIsShort(bodyLength)) {
+            hasSentValidRequest = true;
+            dispatcher.counters.outOfMemory++;
+            write(response("503 Service Unavailable", retryAfterField(dispatcher.settings.maxRetryAfterMs), ""));
+            return;
+        }
         if (!dispatcher.mayStart()) {
             hasSentValidRequest = true;
             dispatcher.counters.notCurrent++;
@@ -560,26 +574,19 @@
 
     void sendSuccess(Hop hop) {
         closeAfterAnswer |= dispatcher.underDescriptorPressure() || dispatcher.draining;
-        IoBuffer answer = hop.answer;
-        int end = answer.position();
-        int length = end - NodeConnection.RESPONSE_HEAD_ROOM_BYTES;
         StringBuilder fields = new StringBuilder(RESPONSE_HEAD_CHARS);
         if (hop.notModified) fields.append("HTTP/1.1 304 Not Modified\r\n");
         else {
             fields.append("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: ")
-                .append(length).append("\r\n");
+                .append(hop.answer.length()).append("\r\n");
         }
         if (hop.etag != null) fields.append("ETag: \"").append(hop.etag).append("\"\r\n");
         if (closeAfterAnswer) fields.append("Connection: close\r\n");
         fields.append(planField());
         byte[] head = Bytes.encode(fields.append("\r\n").toString());
-        // The head is placed right before the body, so that both go out in one write.
-        int start = NodeConnection.RESPONSE_HEAD_ROOM_BYTES - head.length;
-        answer.position(start);
-        answer.put(head);
-        answer.position(start);
-        answer.limit(hop.notModified ? NodeConnection.RESPONSE_HEAD_ROOM_BYTES : end);
-        finishLookup(answer);
+        lookup = null;
+        if (state == State.OPEN) written(hop.answer.write(session, head, hop.notModified));
+        dispatcher.resumeLater(this);
     }
 
     void sendRejection(double retryAfterMs) {
@@ -613,8 +620,11 @@
     }
 
     private void write(IoBuffer answer) {
-        if (state != State.OPEN) return;
-        lastWrite = session.write(answer);
+        if (state == State.OPEN) written(session.write(answer));
+    }
+
+    private void written(WriteFuture write) {
+        lastWrite = write;
         dispatcher.enforceWriteBacklogLimit(this);
         if (closeAfterAnswer) shutDown();
     }
--- a/src/main/java/mothcross/net/Connection.java
+++ b/src/main/java/mothcross/net/Connection.java
@@ -18,6 +18,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Connection.class);
     private static final String SESSION_ATTRIBUTE = "connection";
     private static final byte[] NO_BYTES = new byte[0];
+    /** How much larger than its content the array may be; a smaller factor would copy more often. */
+    private static final int MAX_UNUSED_FACTOR = 4;
 
     final Dispatcher dispatcher;
     IoSession session;
@@ -56,7 +58,10 @@
         if (session != null) session.closeNow();
     }
 
-    /** Parses the read buffer in place; only unconsumed bytes are copied, so that the buffer can be collected. */
+    /** Called after bytes have been received or consumed; {@code heldBytes} is the size of their array. */
+    void bufferChanged(int heldBytes) { }
+
+    /** Parses the read buffer in place where nothing is left from before. */
     private void append(IoBuffer input) {
         int length = input.remaining();
         if (from == to && input.hasArray()) {
@@ -64,19 +69,39 @@
             from = input.arrayOffset() + input.position();
             to = from + length;
         } else {
-            byte[] joined = new byte[remaining() + length];
-            System.arraycopy(bytes, from, joined, 0, remaining());
-            input.get(joined, remaining(), length);
-            bytes = joined;
-            from = 0;
-            to = joined.length;
+            reserve(length);
+            input.get(bytes, to, length);
+            to += length;
         }
         input.position(input.limit());
+        consume();
+    }
+
+    /** Consumes what it can of what was received, and releases the memory that the rest does not need. */
+    final void consume() {
         received();
+        trim(MAX_UNUSED_FACTOR);
+        bufferChanged(bytes.length);
+    }
+
+    /** Makes room behind the received bytes. The array is doubled, since bytes may arrive one by one. */
+    private void reserve(int length) {
+        if (bytes.length - to >= length) return;
+        int needed = remaining() + length;
+        boolean fits = needed <= bytes.length && remaining() <= bytes.length / 2;
+        byte[] target = fits ? bytes : new byte[Math.max(needed, 2 * remaining())];
+        System.arraycopy(bytes, from, target, 0, remaining());
+        to = remaining();
+        from = 0;
+        bytes = target;
+    }
+
+    /** Copies the received bytes to an array of their size where this one is larger by more than the factor. */
+    final void trim(int maxUnusedFactor) {
         if (from == to) {
             bytes = NO_BYTES;
             from = to = 0;
-        } else if (bytes.length > 2 * remaining()) {
+        } else if (bytes.length / maxUnusedFactor > remaining()) {
             bytes = Arrays.copyOfRange(bytes, from, to);
             to -= from;
             from = 0;
--- a/src/main/java/mothcross/net/Dispatcher.java
+++ b/src/main/java/mothcross/net/Dispatcher.java
@@ -34,6 +34,8 @@
     /** How long after a lookup's deadline it is failed here, if the director has not answered it. */
     private static final double FALLBACK_DELAY_MS = 20;
     private static final int INITIAL_LOOKUPS = 64;
+    /** Enough for the head of a usual request. */
+    private static final int MIN_UNREAD_SHARE_BYTES = 2048;
 
     final ReentrantLock lock = new ReentrantLock();
     final Counters counters = new Counters();
@@ -63,12 +65,14 @@
     /** Clients whose next pipelined request can be read; empty whenever the lock is free. */
     private final ArrayDeque<ClientConnection> resumableClients = new ArrayDeque<>();
     /** In the order of arrival; bounded by the descriptors that the director is given. */
-    private final LinkedHashSet<ClientConnection> clients = new LinkedHashSet<>();
+    final LinkedHashSet<ClientConnection> clients = new LinkedHashSet<>();
     private int maxClients;
-    /** Bounds separately what all clients have left unread and what they have sent ahead of their turn. */
-    private long maxBufferedBytes;
-    /** Bytes that clients have sent ahead of their turn (pipelined), and the bodies of open lookups. */
-    long readAheadBytes;
+    /** What clients have sent and nobody has processed yet, and the bodies of open lookups. */
+    final MemoryBudget unreadMemory = new MemoryBudget();
+    /** Answers of nodes that are being received. */
+    final MemoryBudget answerMemory = new MemoryBudget();
+    /** Bounds what all clients have left unread of their answers. */
+    private long maxWriteBacklogBytes;
     /** The process has been asked to stop: every answer closes its connection. */
     boolean draining;
     private boolean directorRunning;
@@ -89,7 +93,10 @@
     void setLimits(int sockets, double memoryMb) {
         descriptors.setLimit(sockets);
         maxClients = descriptors.maxServedClients();
-        maxBufferedBytes = (long) (memoryMb * (1 << 20) / 8);
+        long memory = (long) Math.min(memoryMb * (1 << 20), Runtime.getRuntime().maxMemory());
+        unreadMemory.setLimit(memory / 8);
+        answerMemory.setLimit(memory * 3 / 8);
+        maxWriteBacklogBytes = memory / 8;
     }
 
     // ---- lock and clock ----
@@ -165,7 +172,7 @@
                         RouteConstraints constraints) {
         if (openLookups.putIfAbsent(lookup.id, lookup) != null) return false;
         counters.lookups++;
-        readAheadBytes += lookup.body.length;
+        unreadMemory.add(lookup.body.length);
         int index = lookupIndices.allocate();
         lookup.index = index;
         lookup.workload = workload;
@@ -199,7 +206,7 @@
         timers.cancel(lookup);
         openLookups.remove(lookup.id, lookup);
         lookupIndices.markOver(lookup.index);
-        readAheadBytes -= lookup.body.length;
+        unreadMemory.add(-lookup.body.length);
         for (int i = 0; i < lookup.hopCount(); i++) {
             Hop hop = lookup.hop(i);
             if (hop.ended || hop.writeFuture != null) continue;
@@ -278,9 +285,16 @@
         return clients.size();
     }
 
-    /** Past this limit on what all clients have sent ahead, each client may send only a little ahead. */
-    boolean readAheadLimitExceeded() {
-        return readAheadBytes > maxBufferedBytes;
+    /** How much one client may have sent that is not processed yet; its equal share once all together are too much. */
+    int maxUnreadBytes() {
+        if (!unreadMemory.exceeded()) return Integer.MAX_VALUE;
+        return (int) Math.max(MIN_UNREAD_SHARE_BYTES, unreadMemory.limitBytes() / maxClients);
+    }
+
+    /** Whether a new lookup with a body of this size is refused, so that those that are open get their answers. */
+    boolean memoryIsShort(long bodyLength) {
+        return answerMemory.usedBytes() > answerMemory.limitBytes() * 3 / 4
+            || bodyLength > 0 && unreadMemory.exceeded();
     }
 
     /**
@@ -301,8 +315,8 @@
     void enforceWriteBacklogLimit(ClientConnection writer) {
         // The backlogs are summed only if this client's share is exceeded, that is if it has left more than one
         // answer unread; most clients never do.
-        if (writer.session.getScheduledWriteBytes() <= maxBufferedBytes / maxClients) return;
-        if (writeBacklogBytes() <= maxBufferedBytes) return;
+        if (writer.session.getScheduledWriteBytes() <= maxWriteBacklogBytes / maxClients) return;
+        if (writeBacklogBytes() <= maxWriteBacklogBytes) return;
         counters.slowReaders++;
         ClientConnection slowest = writer;
         for (ClientConnection client : clients) {
@@ -390,6 +404,7 @@
                 lookup.client.sendSuccess(hop);
                 end(lookup);
             }
+            if (hop.answer != null) hop.answer.release();
             hop.answer = null;
             boolean last = isOver(lookup);
             boolean known = lookupIndices.hopEnded(lookup.index, hop.number);
--- a/src/main/java/mothcross/net/Hop.java
+++ b/src/main/java/mothcross/net/Hop.java
@@ -1,6 +1,5 @@
 package mothcross.net;
 
-import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.WriteFuture;
 
 /** One hop of a lookup: its target, what it requests, and its outcome. As a timer it fires at its deadline. */
@@ -26,8 +25,8 @@
     int note;
     double sourceWait;
     double[] report;
-    /** Room for the head of the client's response, followed by the body. */
-    IoBuffer answer;
+    /** The answer's body, from when its length is known. */
+    AnswerBuffer answer;
     String etag;
     boolean notModified;
 
--- a/src/main/java/mothcross/net/NodeConnection.java
+++ b/src/main/java/mothcross/net/NodeConnection.java
@@ -25,8 +25,6 @@
  */
 final class NodeConnection extends Connection {
     private static final Logger LOG = LoggerFactory.getLogger(NodeConnection.class);
-    /** Left free before each body, for the head of the client's response. */
-    static final int RESPONSE_HEAD_ROOM_BYTES = 320;
     private static final int MAX_LINE_BYTES = 4096;
     private static final int MAX_BODY_BYTES = 240_000;
     private static final int MAX_ETAG_BYTES = 128;
@@ -486,7 +484,7 @@
     private void readBody() {
         int length = Math.min(remaining(), remainingBodyBytes - END_OF_LINE_BYTES);
         if (length > 0) {
-            if (bodyHop != null) bodyHop.answer.put(bytes, from, length);
+            if (bodyHop != null && !bodyHop.answer.append(bytes, from, length)) dropAnswer(bodyHop);
             from += length;
             remainingBodyBytes -= length;
         }
@@ -507,6 +505,14 @@
         closeWhenRetired();
     }
 
+    /** Gives up an answer for which there is no memory; the node is not to blame, and the request has run. */
+    private void dropAnswer(Hop hop) {
+        dispatcher.counters.outOfMemory++;
+        abandon(hop);
+        hop.note = Director.COLLATERAL_FAILURE;
+        dispatcher.endHop(hop, Director.CONNECTION_LOST);
+    }
+
     /** Reads {@code ID WORD FIELDS LENGTH}; returns false if the connection had to be closed. */
     private boolean readLine(int start, int end) {
         int idEnd = Bytes.indexOf(bytes, start, end, ' ');
@@ -540,8 +546,7 @@
         }
         if (outcome == Director.SUCCEEDED) {
             dispatcher.answerTimes.record(lookup.workload, dispatcher.clock() - hop.writtenAt);
-            hop.answer = IoBuffer.allocate(RESPONSE_HEAD_ROOM_BYTES + (int) length);
-            hop.answer.position(RESPONSE_HEAD_ROOM_BYTES);
+            hop.answer = new AnswerBuffer(dispatcher.answerMemory, (int) length);
             bodyHop = hop;
         } else {
             inFlight.remove(lookup.id);
--- a/src/test/java/mothcross/ColdSumTest.java
+++ b/src/test/java/mothcross/ColdSumTest.java
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Guards against a budget that follows sizes nobody has proven: one malformed request of a false size, right after a
-     * director's start, made its lookups seem to cost next to nothing, or would make them seem to cost too much.
+     * Guards against a budget that follows sizes nobody has proven: one malformed request of a false size, right after
+     * a director's start, made its lookups seem to cost next to nothing, or too much.
      */
     @Test(dataProvider = "falseTransferTimes")
     public void falseSizesDoNotChangeTheBudget(double falseTransferMs) {
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -267,12 +267,12 @@
             }
             Dispatcher d = director.dispatcher();
             Fleet.awaitTrue("the limit is reached and a client refused",
-                () -> d.readAheadBytes > 0 && clients(director) < 30);
+                () -> d.unreadMemory.usedBytes() > 0 && clients(director) < 30);
             for (int i = 0; i < 30; i++) {
                 Outside c = parties.get("c" + i);
                 c.write(incompleteBody.substring(0, 10_000), false);    // has the director check the limit again
             }
-            Fleet.awaitTrue("the bytes held are bounded", () -> d.readAheadBytes <= (16 << 20) / 8 + 160_000);
+            Fleet.awaitTrue("the bytes held are bounded", () -> d.unreadMemory.usedBytes() <= (16 << 20) / 8 + 160_000);
             List<Outside> all = new ArrayList<>();
             for (int i = 0; i < 30; i++) all.add(parties.get("c" + i));
             Fleet.awaitTrue("a client has received its refusal", () -> all.stream().anyMatch(Outside::answered));
@@ -282,6 +282,40 @@
         }
     }
 
+    /**
+     * Guards against buffers that stay as large as what a client once sent ahead of its turn: clients that had got all
+     * their answers and rested filled the heap, and the process answered nobody any more.
+     */
+    @Test(timeOut = 30_000) public void whatWasSentAheadIsReleasedOnceAnswered() throws Exception {
+        DirectorServer director = startDirector("node", Map.of());
+        try {
+            Outside a = client("a", director);
+            Outside n1 = parties.get("n1");
+            a.write(String.format(ASK, 10, 10, 2900), false);
+            assertTrue(n1.read().startsWith("want 000000000000000a "));
+            int ahead = 100;
+            String request = "GET /api/v2/no-such-class/0a HTTP/1.1|Cookie: " + "c".repeat(900) + "||";
+            a.write(request.repeat(ahead), false);
+            Fleet.awaitTrue("all of it is received", () -> heldBytes(director) >= ahead * request.length());
+            n1.write("000000000000000a DONE n=mem 2|ok|", false);
+            assertTrue(a.read().startsWith("HTTP/1.1 200 "));
+            for (int i = 0; i < ahead; i++) assertTrue(a.read().startsWith("HTTP/1.1 400 "));
+            assertEquals(heldBytes(director), 0);
+        } finally {
+            release(director);
+        }
+    }
+
+    /** The sizes of the arrays that hold what clients have sent. */
+    private static long heldBytes(DirectorServer director) {
+        director.dispatcher().enter();
+        try {
+            return director.dispatcher().clients.stream().mapToLong(client -> client.bytes.length).sum();
+        } finally {
+            director.dispatcher().leave();
+        }
+    }
+
     /** The states of the shutdown sequence, driven by time alone. */
     @Test public void processEndsWhenNoAnswerIsOwed() {
         ShutdownSequence e = new ShutdownSequence();
