Requests that need no node are answered in turn, one a client

Cause: ClientConnection.readRequests() went on as long as there were requests that need no node, hundreds in one go under the dispatcher's lock and on the thread of all sockets; resume() did the same. Answers that nobody reads were queued without a bound on their number.

Requests that go to a node, and first requests, are not held up. A client with more than 8 answers unsent waits until they are written.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -40,6 +40,8 @@
     /** How much a client may send ahead of its turn. */
     private static final int MAX_READ_AHEAD_BYTES = 128 << 10;
     private static final int MAX_NODE_FIELD_BYTES = 128;
+    /** Past so many answers that are not written yet, the next request waits for them. */
+    private static final int MAX_UNSENT_ANSWERS = 8;
 
     /**
      * By when the first request has to be whole, from connecting, and a later one, from its first byte. Clients must
@@ -90,6 +92,10 @@
     private long plan = -1;
     private State state = State.OPEN;
     private boolean closeAfterAnswer;
+    /** While a request is processed: an answer given now is not followed by the next request at once. */
+    private boolean processing;
+    /** Whether further requests wait until it is this client's turn, see {@link RequestTurns}. */
+    private boolean awaitingTurn;
     private boolean hasSentValidRequest;
     private boolean idleSuspected;
     /** Whether bytes sent ahead were dropped, so that nothing after them can be read. */
@@ -158,6 +164,7 @@
         state = State.CLOSED;
         dispatcher.timers.cancel(timeout);
         dispatcher.clientClosed(this);
+        dispatcher.turns.remove(this);
         bufferChanged(0);
         if (lookup != null) {
             Lookup abandoned = lookup;
@@ -225,6 +232,24 @@
         if (state == State.OPEN) consume();
     }
 
+    /** Reads the next request after one that was answered without a node. */
+    void takeTurn() {
+        awaitingTurn = false;
+        resume();
+    }
+
+    /** Lets the requests of other clients go first, and answers that are not written yet. */
+    private void awaitTurn() {
+        awaitingTurn = true;
+        if (session.getScheduledWriteMessages() <= MAX_UNSENT_ANSWERS) {
+            dispatcher.turns.enqueue(this);
+        } else {
+            lastWrite.addListener(future -> dispatcher.runLocked(() -> {
+                if (state == State.OPEN) dispatcher.turns.enqueue(this);
+            }));
+        }
+    }
+
     @Override void received() {
         if (state != State.OPEN) dispatcher.counters.receivedAfterClose++;
         if (state == State.OPEN && lookup == null && remaining() > 0 && Processor.endOfInput(session)) {
@@ -234,12 +259,12 @@
         }
         idleSuspected = false;
         if (readAheadTruncated) to = from + unreadBytes;    // nothing after the dropped bytes can be read
-        readRequests();
+        if (!awaitingTurn) readRequests();
         if (state != State.OPEN) {                          // the last answer is being written
             discardedBytes += remaining();
             from = to;
             if (discardedBytes > MAX_DISCARDED_BYTES) session.suspendRead();
-        } else if (lookup != null) {
+        } else if (lookup != null || awaitingTurn) {
             awaited = Awaited.NOTHING;
             dispatcher.timers.cancel(timeout);
             truncateReadAhead();
@@ -299,7 +324,13 @@
             scannedBytes = 0;
             from = headEnd + (int) bodyLength;          // consumed first: the answer may close the connection
             awaited = Awaited.NOTHING;
+            processing = true;
             processRequest(headEnd);
+            processing = false;
+            if (lookup == null && state == State.OPEN && remaining() > 0) {
+                awaitTurn();
+                return;
+            }
         }
     }
 
@@ -609,7 +640,7 @@
     private void finishLookup(IoBuffer answer) {
         lookup = null;
         write(answer);
-        dispatcher.resumeLater(this);
+        if (!processing) dispatcher.resumeLater(this);
     }
 
     private IoBuffer response(String status, String fields, String body) {
--- a/src/main/java/mothcross/net/Dispatcher.java
+++ b/src/main/java/mothcross/net/Dispatcher.java
@@ -40,6 +40,7 @@
     final ReentrantLock lock = new ReentrantLock();
     final Counters counters = new Counters();
     final Timers timers;
+    final RequestTurns turns;
     final DirectorSettings settings;
     final IoConnector connector;
     private final Director director;
@@ -86,6 +87,7 @@
         this.director = settings.director;
         this.maxHops = maxHops;
         this.timers = new Timers(this);
+        this.turns = new RequestTurns(this);
         this.answerTimes = new AnswerTimes(settings.workloadTable.length);
     }
 
--- a/src/test/java/mothcross/net/MemoryLimitTest.java
+++ b/src/test/java/mothcross/net/MemoryLimitTest.java
@@ -115,4 +115,21 @@
         });
         assertServes();
     }
+
+    /** Guards against answers that nobody reads: small ones weigh many times their bytes. */
+    @Test public void unreadAnswersDoNotFillTheHeap() throws Exception {
+        byte[] requests = "GET /-/healthy HTTP/1.1\r\n\r\n".repeat(4000).getBytes(StandardCharsets.US_ASCII);
+        for (int i = 0; i < CLIENTS; i++) {
+            Socket socket = connect();
+            threads.submit(() -> {
+                for (int j = 0; j < 20; j++) socket.getOutputStream().write(requests);
+                return null;
+            });
+        }
+        long until = System.nanoTime() + 5_000_000_000L;
+        while (System.nanoTime() < until) {
+            assertServes();
+            Thread.sleep(50);                           // the interval between checks
+        }
+    }
 }
