The id of a request that may have run is not run again for 30 s

Callers saw: a request whose client has left runs a second time when its id comes again (picture (c) of the issue); on one connection to a node the answer to the first may be taken for the second, which may name another object.

Cause: Dispatcher.startLookup() refused an id only while a request with it was open, and forgot it when its client had left, though the request might still run.

Change: Dispatcher.end(), which every request passes once, gives the ids of requests with an attempt that may have run to RecentRequests: 30 s, 16,384 of them at most. A request with such an id is answered 400, as one whose id is open, and counted. One that never ran may come again.

--- a/src/main/java/mothcross/net/Dispatcher.java
+++ b/src/main/java/mothcross/net/Dispatcher.java
@@ -49,6 +49,7 @@
     private Lookup[] lookups = new Lookup[INITIAL_LOOKUPS];
     /** Open lookups by the client's request id; a second lookup with the id of an open one is refused. */
     private final Map<Long, Lookup> openLookups = new HashMap<>();
+    private final RecentRequests recentRequests = new RecentRequests();
     final Nodes nodes = new Nodes();
     final AnswerTimes answerTimes;
     /** Null if the operators have configured no routes. */
@@ -169,9 +170,13 @@
         return servingPermit == null || servingPermit.mayStart();
     }
 
-    /** Returns false if a lookup with this id is already open. */
+    /** Returns false if a lookup with this id is already open, or may have run a short time ago. */
     boolean startLookup(Lookup lookup, int workload, int part, double sizeKb, boolean repeat,
                         RouteConstraints constraints) {
+        if (recentRequests.contains(lookup.id, now)) {
+            counters.repeatedIds++;
+            return false;
+        }
         if (openLookups.putIfAbsent(lookup.id, lookup) != null) return false;
         counters.lookups++;
         unreadMemory.add(lookup.body.length);
@@ -215,6 +220,18 @@
             if (hop.connection != null) hop.connection.abandon(hop);
             endHop(hop, Director.NOT_SENT);
         }
+        if (mayHaveRun(lookup)) recentRequests.add(lookup.id, now);
+    }
+
+    private static boolean mayHaveRun(Lookup lookup) {
+        for (int i = 0; i < lookup.hopCount(); i++) {
+            if (mayHaveRun(lookup.hop(i))) return true;
+        }
+        return false;
+    }
+
+    private static boolean mayHaveRun(Hop hop) {
+        return hop.writeFuture != null && !(hop.ended && neverExecuted(hop.outcome));
     }
 
     private void releaseIndex(Lookup lookup) {
@@ -365,8 +382,7 @@
         double time = clock();
         for (int i = 0; i < hop.number; i++) {
             Hop earlier = lookup.hop(i);
-            boolean mayHaveRun = earlier.writeFuture != null && !(earlier.ended && neverExecuted(earlier.outcome));
-            if (mayHaveRun && time >= earlier.writtenAt + workload.deduplicationWindowMs()) return false;
+            if (mayHaveRun(earlier) && time >= earlier.writtenAt + workload.deduplicationWindowMs()) return false;
         }
         return true;
     }
