Nothing is sent on for a client whose end the system has received already

Cause: a client's end stands behind all that it has sent, and was seen only where one read of 2 to 16 KB reached it. Requests sent ahead were read by resume(), which did not look at the socket at all.

Change: ClientConnection.beforeConsuming() reads what the system has for the client, up to 512 KB, before a request is read; every path passes it. Only the thread that reads a socket may, so requests sent ahead are resumed there (Processor.execute).

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package mothcross.net;
 
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import mothcross.RouteConstraints;
 import mothcross.Workload;
@@ -40,6 +41,8 @@
     /** How much a client may send ahead of its turn. */
     private static final int MAX_READ_AHEAD_BYTES = 128 << 10;
     private static final int MAX_NODE_FIELD_BYTES = 128;
+    /** How much of one client is read at a time, so that one that sends without end does not hold up others. */
+    private static final int MAX_READ_AT_ONCE_BYTES = 512 << 10;
     /** Past so many answers that are not written yet, the next request waits for them. */
     private static final int MAX_UNSENT_ANSWERS = 8;
 
@@ -227,9 +230,36 @@
         dispatcher.timers.set(timeout, dispatcher.clock() + UNREAD_GRACE_MS);
     }
 
-    /** Reads the next pipelined request after an answer. */
+    /** Reads the next pipelined request after an answer, once it is known whether the client is still there. */
     void resume() {
-        if (state == State.OPEN) consume();
+        if (state != State.OPEN) return;
+        if (remaining() == 0) {
+            consume();
+        } else {
+            awaitingTurn = true;                            // nothing is read until then
+            Processor.execute(session, () -> dispatcher.runLocked(this::resumeOnReadingThread));
+        }
+    }
+
+    private void resumeOnReadingThread() {
+        awaitingTurn = false;
+        if (state != State.OPEN) return;
+        beforeConsuming();
+        consume();
+    }
+
+    /**
+     * Reads what the system has received meanwhile. That a client has gone is seen only behind all that it has sent,
+     * and nothing may be sent on for it any more.
+     */
+    @Override void beforeConsuming() {
+        if (state != State.OPEN || lookup != null || awaitingTurn) return;
+        ByteBuffer input = Processor.readAvailable(session);
+        for (int total = 0; input != null && total < MAX_READ_AT_ONCE_BYTES; input = Processor.readAvailable(session)) {
+            total += input.remaining();
+            if (remaining() < MAX_HEAD_BYTES + MAX_WRITE_BODY_BYTES) append(input);
+            else truncate(remaining());
+        }
     }
 
     /** Reads the next request after one that was answered without a node. */
@@ -290,10 +320,16 @@
     private void truncateReadAhead() {
         int maxBytes = Math.min(MAX_READ_AHEAD_BYTES, dispatcher.maxUnreadBytes());
         if (remaining() <= maxBytes) return;
+        truncate(maxBytes);
+        trim(1);
+    }
+
+    /** Keeps so many of the received bytes; what is behind them is not read any more. */
+    private void truncate(int keptBytes) {
         if (!readAheadTruncated) dispatcher.counters.readAheadTruncated++;
         readAheadTruncated = true;
-        to = from + maxBytes;
-        trim(1);
+        unreadBytes = keptBytes;
+        to = from + keptBytes;
     }
 
     private void readRequests() {
--- a/src/main/java/mothcross/net/Connection.java
+++ b/src/main/java/mothcross/net/Connection.java
@@ -1,6 +1,7 @@
 package mothcross.net;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.function.Consumer;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -62,21 +63,31 @@
     void bufferChanged(int heldBytes) { }
 
     /** Parses the read buffer in place where nothing is left from before. */
-    private void append(IoBuffer input) {
+    private void receive(IoBuffer input) {
         int length = input.remaining();
         if (from == to && input.hasArray()) {
             bytes = input.array();
             from = input.arrayOffset() + input.position();
             to = from + length;
+            input.position(input.limit());
         } else {
-            reserve(length);
-            input.get(bytes, to, length);
-            to += length;
+            append(input.buf());
         }
-        input.position(input.limit());
+        beforeConsuming();
         consume();
     }
 
+    /** Adds bytes behind those that were received before. */
+    final void append(ByteBuffer input) {
+        int length = input.remaining();
+        reserve(length);
+        input.get(bytes, to, length);
+        to += length;
+    }
+
+    /** Called on the thread of all sockets, after bytes have been received and before they are consumed. */
+    void beforeConsuming() { }
+
     /** Consumes what it can of what was received, and releases the memory that the rest does not need. */
     final void consume() {
         received();
@@ -130,7 +141,7 @@
         }
 
         @Override public void messageReceived(IoSession session, Object message) {
-            runLocked(session, connection -> connection.append((IoBuffer) message));
+            runLocked(session, connection -> connection.receive((IoBuffer) message));
         }
 
         @Override public void sessionClosed(IoSession session) {
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -93,6 +93,64 @@
         }
     }
 
+    /** Guards against a client whose end is not seen yet, since it stands behind much that it has sent. */
+    @Test(timeOut = 30_000) public void requestsOfClientThatSentMuchAndLeftAreNotForwarded() throws Exception {
+        DirectorServer director = startDirector("node", Map.of());
+        try {
+            Outside a = client("a", director), b = client("b", director);
+            for (Outside c : List.of(a, b)) {
+                c.write("GET /-/healthy HTTP/1.1||", false);
+                assertTrue(c.read().startsWith("HTTP/1.1 200 "));
+            }
+            StringBuilder requests = new StringBuilder();
+            for (int i = 0; i < 600; i++) requests.append(String.format(ASK, 10, 100 + i, 29_000));
+            director.dispatcher().enter();
+            try {
+                b.write("GET /-/healthy HTTP/1.1||", false);    // blocks the only reading thread on the lock
+                Dispatcher d = director.dispatcher();
+                Fleet.awaitTrue("the reading thread waits for the lock", () -> lockIsContended(d));
+                a.write(requests.toString(), false);
+                a.close(false);
+            } finally {
+                director.dispatcher().leave();
+            }
+            assertTrue(b.read().startsWith("HTTP/1.1 200 "));
+            b.write(String.format(ASK, 11, 11, 2900), false);
+            String want = parties.get("n1").read();
+            assertTrue(want.startsWith("want 000000000000000b "), want);
+            assertEquals(counters(director).hops, 1);
+        } finally {
+            release(director);
+        }
+    }
+
+    /** Guards against a request that waited for the one before it, and is sent on though its client has left. */
+    @Test(timeOut = 30_000) public void requestSentAheadByClientThatLeftIsNotForwarded() throws Exception {
+        DirectorServer director = startDirector("node", Map.of());
+        try {
+            Outside a = client("a", director), b = client("b", director);
+            Outside n1 = parties.get("n1");
+            a.write(String.format(ASK, 10, 10, 2900), false);
+            assertTrue(n1.read().startsWith("want 000000000000000a "));
+            a.write(String.format(ASK, 10, 11, 2900), false);
+            Fleet.awaitTrue("the second is received", () -> heldBytes(director) > 0);
+            director.dispatcher().enter();
+            try {
+                n1.write("000000000000000a DONE n=mem 2|ok|", false);   // blocks the reading thread on the lock
+                Dispatcher d = director.dispatcher();
+                Fleet.awaitTrue("the reading thread waits for the lock", () -> lockIsContended(d));
+                a.close(false);
+            } finally {
+                director.dispatcher().leave();
+            }
+            b.write(String.format(ASK, 11, 12, 2900), false);
+            String want = n1.read();
+            assertTrue(want.startsWith("want 000000000000000c "), want);
+        } finally {
+            release(director);
+        }
+    }
+
     /**
      * Requests arrive, and are unread, while the director closes: one behind the last answer, one on an idle
      * connection. A close with unread bytes would reset both connections and lose the answer. The requests are read
