A process at the address of another is no longer taken for that one

Cause, three ways: two ids at one address both counted as in use until the removal of the first was told; hops that waited for a connection when their node moved were written to the earlier address; hops decided for a warm process that waited were written to the cold one that has its id.

Change: Nodes.nodeListed(), which every entry of a list passes, holds which node is at an address; the later start, else the later entry takes it, the other counts as removed. Another address or a later start gives up a node's connections, and hops that wait for it, as node or source, go back to the module (mayReceive).

--- a/src/main/java/mothcross/net/Dispatcher.java
+++ b/src/main/java/mothcross/net/Dispatcher.java
@@ -450,11 +450,7 @@
 
     void listFinished(Director to) {
         nodes.listFinished(to);
-        withdrawHops(hop -> !usable(hop.node) || !usable(hop.source));
-    }
-
-    private static boolean usable(Node node) {
-        return node.status == Director.IN_SERVICE || node.status == Director.UNCONFIRMED;
+        withdrawHops(hop -> !nodes.mayReceive(hop.node) || !nodes.mayReceive(hop.source));
     }
 
     void setHopObserver(HopObserver observer) {
--- a/src/main/java/mothcross/net/Node.java
+++ b/src/main/java/mothcross/net/Node.java
@@ -4,13 +4,21 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A listed node: its index, id, address and status, and the connections to it. */
+/** A listed node: its index, id, address and status, what else discovery has said of it, and the connections to it. */
 final class Node {
     final int index;
     final String id;
     InetSocketAddress address;
     /** One of the node statuses of {@link mothcross.Director}. */
     int status;
+    int zone;
+    int kind;
+    int cell;
+    double units;
+    /** When its process started, Unix ms, or 0 if that is not known. */
+    double startedAt;
+    /** The node that is listed at the address now, if this one was listed there before. */
+    Node supersededBy;
     /** When anything was last received from the node, on any connection. */
     double lastReceivedAt;
     /** Open hops that name this node, as target or as source. */
