A director whose thread of sockets or timers has failed ends, with 3

Cause: an Error in a callback ends the only thread of all sockets; nothing looked at it.

Change: the threads of a director have a handler for what ends them; it logs, and the process ends with status 3, so that the platform starts it anew. This is the last resort: the memory budgets are to keep it from coming to that.

--- a/src/main/java/mothcross/cli/Main.java
+++ b/src/main/java/mothcross/cli/Main.java
@@ -138,6 +138,9 @@
             description = "for tests only: answers name the plan that decided them")
         private boolean tellsPlan;
 
+        /** Exit status of a director that cannot go on and has to be started anew. */
+        private static final int FATAL_ERROR_STATUS = 3;
+
         private volatile FleetService fleetService;
 
         @Override public Integer call() throws InterruptedException {
@@ -157,6 +160,7 @@
         private int serve(LoadedConfig config) throws InterruptedException, StartupConfig.InvalidConfigException {
             StartupConfig startup = config.startup;
             DirectorServer server = new DirectorServer(startup, config.membership, config.routes);
+            server.onFatalError(() -> Runtime.getRuntime().halt(FATAL_ERROR_STATUS));
             if (config.fleet != null) server.scaleLimits(0);    // until the director knows its share of the limits
             Thread shutdown = new Thread(() -> shutDown(server), "end");
             Runtime.getRuntime().addShutdownHook(shutdown);     // before the server starts: SIGTERM may come at once
--- a/src/main/java/mothcross/net/DirectorServer.java
+++ b/src/main/java/mothcross/net/DirectorServer.java
@@ -54,6 +54,7 @@
     private final CountDownLatch terminated = new CountDownLatch(1);
     private final ShutdownSequence shutdown = new ShutdownSequence();
     private double limitScale = 1;
+    private volatile Runnable fatalErrorAction = () -> { };
 
     /** Accepts clients no faster than evicted ones make room, so that file descriptors never run out. */
     private static final class Acceptor extends NioSocketAcceptor {
@@ -87,6 +88,27 @@
         }
     }
 
+    private Thread serviceThread(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.setUncaughtExceptionHandler((failed, error) -> threadFailed(failed, error));
+        return thread;
+    }
+
+    /** Without one of its threads the director would accept requests and answer none. */
+    private void threadFailed(Thread failed, Throwable error) {
+        try {
+            LOG.error("thread {} has failed; no request can be answered any more", failed.getName(), error);
+        } finally {
+            fatalErrorAction.run();                         // also where there is no memory left to log
+        }
+    }
+
+    /** Before the start: what to do when the director cannot go on; nothing by default. */
+    public void onFatalError(Runnable action) {
+        fatalErrorAction = action;
+    }
+
     private void applyLimits() {
         dispatcher.setLimits(config.sockets, config.memoryMb);
     }
@@ -112,9 +134,7 @@
         this.config = config;
         this.membershipSettings = membershipSettings;
         Executor threads = Executors.newCachedThreadPool(task -> {
-            Thread thread = new Thread(task, "sockets");
-            thread.setDaemon(true);
-            return thread;
+            return serviceThread(task, "sockets");
         });
         processor = new Processor(threads);
         connector = new NioSocketConnector(threads, processor);
@@ -161,9 +181,7 @@
         } finally {
             dispatcher.leave();
         }
-        Thread timers = new Thread(dispatcher.timers, "timers");
-        timers.setDaemon(true);
-        timers.start();
+        serviceThread(dispatcher.timers, "timers").start();
         dispatcher.runLocked(discoveryWatch::connect);
         awaitDiscovery();
         acceptor.bind(config.listen);
