The head of a request is parsed by a class of its own, RequestParser

No behaviour changes: ServeTest, EndingsTest, RoutesTest, RequestTurnsTest and MemoryLimitTest pass as they were.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -32,15 +32,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
 
     private static final int MAX_HEAD_BYTES = 8192;
-    /** For the bodies of reads (GET). */
-    private static final int MAX_READ_BODY_BYTES = 16_384;
-    /** For the bodies of writes (PUT): the largest object of the protocol. */
-    private static final int MAX_WRITE_BODY_BYTES = 240_000;
     /** How much is read and discarded after the last answer before reading is suspended. */
     private static final int MAX_DISCARDED_BYTES = 256 << 10;
     /** How much a client may send ahead of its turn. */
     private static final int MAX_READ_AHEAD_BYTES = 128 << 10;
-    private static final int MAX_NODE_FIELD_BYTES = 128;
     /** How much of one client is read at a time, so that one that sends without end does not hold up others. */
     private static final int MAX_READ_AT_ONCE_BYTES = 512 << 10;
     /** Past so many answers that are not written yet, the next request waits for them. */
@@ -70,18 +65,9 @@
     private static final String PATH = "/api/v2/";
     private static final String PART_PREFIX = "piece-";
     private static final String HEALTH_PATH = "/-/healthy";
-    private static final int MAX_GROUP = 255;
-    private static final int REQUEST_ID_DIGITS = 16;
     private static final int REQUEST_FIELDS_CHARS = 96;
     private static final int RESPONSE_HEAD_CHARS = 160;
 
-    /** Bits of {@link #seenFields}: fields that make the request invalid if they occur twice. */
-    private static final int SEEN_ID = 1;
-    private static final int SEEN_WAIT = 2;
-    private static final int SEEN_GROUP = 4;
-    private static final int SEEN_SIZE = 8;
-    private static final int SEEN_TOKEN = 16;
-
     /** Which clients are evicted first if descriptors run short, see {@link Dispatcher#admit}. */
     enum EvictionPriority { CLOSING, NO_REQUEST, IDLE, AWAITING_FIRST_REQUEST, NEWEST, IN_USE }
 
@@ -115,23 +101,8 @@
     private int countedBytes;
     private double idleSince;
 
-    // The head read last, by positions in the bytes; -1 if absent.
-    private int targetStart;
-    private int targetEnd;
-    private int etagStart;
-    private int etagEnd;
-    private int idStart;
-    private int idEnd;
-    private int tokenStart;
-    private int tokenEnd;
-    private double waitMs;
-    private double sizeKb;
-    private long bodyLength;
-    private long group;
-    private boolean repeat;
-    private boolean fieldsValid;
-    private boolean put;
-    private int seenFields;
+    /** The head that was read last. */
+    private final RequestParser head = new RequestParser();
     private byte[] address;
 
     /** The only timeout of the connection, for when no lookup is open: request, idle or linger timeout. */
@@ -255,7 +226,7 @@
         ByteBuffer input = Processor.readAvailable(session);
         for (int total = 0; input != null && total < MAX_READ_AT_ONCE_BYTES; input = Processor.readAvailable(session)) {
             total += input.remaining();
-            if (remaining() < MAX_HEAD_BYTES + MAX_WRITE_BODY_BYTES) append(input);
+            if (remaining() < MAX_HEAD_BYTES + RequestParser.MAX_WRITE_BODY_BYTES) append(input);
             else truncate(remaining());
             any = true;
         }
@@ -343,13 +314,14 @@
                 return;
             }
             if (LOG.isTraceEnabled()) LOG.trace("request head {}", Bytes.decode(bytes, from, headEnd));
-            String errorStatus = parseHead(headEnd);
+            String errorStatus = head.parse(bytes, from, headEnd, dispatcher.activeRoutes);
             if (errorStatus != null) {
                 dispatcher.counters.badHead++;
                 refuseRequest(errorStatus);
                 return;
             }
-            if (to - headEnd < bodyLength) {            // the rest of the body is still to come
+            closeAfterAnswer = head.close;
+            if (to - headEnd < head.bodyLength) {       // the rest of the body is still to come
                 refuseIfTooLarge();
                 return;
             }
@@ -363,7 +335,7 @@
                 return;
             }
             scannedBytes = 0;
-            from = headEnd + (int) bodyLength;          // consumed first: the answer may close the connection
+            from = headEnd + (int) head.bodyLength;     // consumed first: the answer may close the connection
             awaited = Awaited.NOTHING;
             processing = true;
             processRequest(headEnd);
@@ -396,167 +368,41 @@
         return -1;
     }
 
-    /** Parses the head in place; returns the status to refuse the request with, or null. */
-    private String parseHead(int headEnd) {
-        resetHead();
-        if (dispatcher.activeRoutes != null) dispatcher.activeRoutes.headStarted();
-        int lineFeed = Bytes.indexOf(bytes, from, headEnd, '\n');
-        String errorStatus = parseRequestLine(lineFeed);
-        if (errorStatus != null) return errorStatus;
-        for (int line = lineFeed + 1; line < headEnd - 2; line = lineFeed + 1) {
-            lineFeed = Bytes.indexOf(bytes, line, headEnd, '\n');
-            errorStatus = parseHeaderLine(line, lineFeed);
-            if (errorStatus != null) return errorStatus;
-        }
-        bodyLength = Math.max(0, bodyLength);
-        return null;
-    }
-
-    private void resetHead() {
-        targetStart = etagStart = idStart = tokenStart = -1;
-        sizeKb = 0;
-        waitMs = Double.NaN;
-        group = -1;
-        bodyLength = -1;
-        repeat = false;
-        fieldsValid = true;
-        seenFields = 0;
-    }
-
-    private String parseRequestLine(int lineFeed) {
-        if (lineFeed == from || bytes[lineFeed - 1] != '\r') return "400 Bad Request";
-        int methodEnd = Bytes.indexOf(bytes, from, lineFeed, ' ');
-        int pathEnd = methodEnd < 0 ? -1 : Bytes.indexOf(bytes, methodEnd + 1, lineFeed, ' ');
-        if (methodEnd <= from || pathEnd <= methodEnd + 1) return "400 Bad Request";
-        boolean http10 = Bytes.matches(bytes, pathEnd + 1, lineFeed - 1, "HTTP/1.0");
-        if (!http10 && !Bytes.matches(bytes, pathEnd + 1, lineFeed - 1, "HTTP/1.1")) return "400 Bad Request";
-        put = Bytes.matches(bytes, from, methodEnd, "PUT");
-        if (!put && !Bytes.matches(bytes, from, methodEnd, "GET")) return "405 Method Not Allowed";
-        targetStart = methodEnd + 1;
-        targetEnd = pathEnd;
-        closeAfterAnswer = http10;
-        return null;
-    }
-
-    private String parseHeaderLine(int start, int lineFeed) {
-        int colon = Bytes.indexOf(bytes, start, lineFeed, ':');
-        if (bytes[lineFeed - 1] != '\r' || colon <= start || !isToken(start, colon)) return "400 Bad Request";
-        int value = colon + 1;
-        int valueEnd = lineFeed - 1;
-        while (value < valueEnd && isBlank(bytes[value])) value++;
-        while (valueEnd > value && isBlank(bytes[valueEnd - 1])) valueEnd--;
-        for (int i = value; i < valueEnd; i++) {
-            if (bytes[i] >= 0 && bytes[i] < ' ' && bytes[i] != '\t') return "400 Bad Request";
-        }
-        if (Bytes.matchesIgnoreCase(bytes, start, colon, "content-length")) {
-            long length = Bytes.parseInteger(bytes, value, valueEnd);
-            if (length < 0 || bodyLength >= 0 && bodyLength != length) return "400 Bad Request";
-            if (length > (put ? MAX_WRITE_BODY_BYTES : MAX_READ_BODY_BYTES)) return "413 Content Too Large";
-            bodyLength = length;
-        } else if (Bytes.matchesIgnoreCase(bytes, start, colon, "transfer-encoding")) {
-            return "501 Not Implemented";
-        } else {
-            parseField(start, colon, value, valueEnd);
-        }
-        return null;
-    }
-
-    private static boolean isBlank(byte character) {
-        return character == ' ' || character == '\t';
-    }
-
-    /** Whether all bytes may stand in a token of HTTP. */
-    private boolean isToken(int start, int end) {
-        for (int i = start; i < end; i++) {
-            int c = bytes[i];
-            boolean alphanumeric = c >= '0' && c <= '9' || (c | 32) >= 'a' && (c | 32) <= 'z';
-            if (!alphanumeric && "!#$%&'*+-.^_`|~".indexOf(c) < 0) return false;
-        }
-        return true;
-    }
-
-    private void parseField(int name, int nameEnd, int value, int valueEnd) {
-        if (dispatcher.activeRoutes != null) dispatcher.activeRoutes.headerField(bytes, name, nameEnd, value, valueEnd);
-        if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "connection")) {
-            closeAfterAnswer = Bytes.matchesIgnoreCase(bytes, value, valueEnd, "close")
-                || closeAfterAnswer && !Bytes.matchesIgnoreCase(bytes, value, valueEnd, "keep-alive");
-        } else if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "req-id")) {
-            checkField(SEEN_ID, valueEnd - value == REQUEST_ID_DIGITS && Bytes.isHex(bytes, value, valueEnd));
-            idStart = value;
-            idEnd = valueEnd;
-        } else if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "req-wait-ms")) {
-            waitMs = Bytes.parseDecimal(bytes, value, valueEnd);
-            checkField(SEEN_WAIT, waitMs >= 0);
-        } else if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "req-retry")) {
-            repeat = Bytes.matches(bytes, value, valueEnd, "1");
-        } else if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "x-lot")) {
-            group = Bytes.parseInteger(bytes, value, valueEnd);
-            checkField(SEEN_GROUP, group >= 0 && group <= MAX_GROUP);
-        } else if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "req-kb")) {
-            sizeKb = Bytes.parseDecimal(bytes, value, valueEnd);
-            checkField(SEEN_SIZE, sizeKb >= 0);
-        } else if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "req-token")) {
-            checkField(SEEN_TOKEN, fitsNodeLine(value, valueEnd));
-            tokenStart = value;
-            tokenEnd = valueEnd;
-        } else if (Bytes.matchesIgnoreCase(bytes, name, nameEnd, "if-none-match")) {
-            // Only a single strong tag that can stand in a line of the node protocol; any other value is ignored.
-            boolean quoted = valueEnd - value >= 3 && bytes[value] == '"' && bytes[valueEnd - 1] == '"';
-            if (!quoted || !fitsNodeLine(value + 1, valueEnd - 1)) return;
-            etagStart = value + 1;
-            etagEnd = valueEnd - 1;
-        }
-    }
-
-    /** Whether the bytes can stand as a value in a line of the node protocol. */
-    private boolean fitsNodeLine(int start, int end) {
-        for (int i = start; i < end; i++) {
-            if (bytes[i] <= ' ' || bytes[i] == '"' || bytes[i] == ',') return false;
-        }
-        return end > start && end - start <= MAX_NODE_FIELD_BYTES;
-    }
-
-    /** Makes the request invalid if a field that decides the lookup is malformed or occurs twice. */
-    private void checkField(int seenBit, boolean valid) {
-        fieldsValid &= valid && (seenFields & seenBit) == 0;
-        seenFields |= seenBit;
-    }
-
     private void processRequest(int bodyStart) {
         double now = dispatcher.clock();
-        if (!put && Bytes.matches(bytes, targetStart, targetEnd, HEALTH_PATH)) {
+        if (!head.put && Bytes.matches(bytes, head.targetStart, head.targetEnd, HEALTH_PATH)) {
             answerHealthCheck();
             return;
         }
-        int nameStart = targetStart + PATH.length();
-        boolean knownPath = nameStart <= targetEnd && Bytes.matches(bytes, targetStart, nameStart, PATH);
-        int nameEnd = knownPath ? Bytes.indexOf(bytes, nameStart, targetEnd, '/') : -1;
+        int nameStart = head.targetStart + PATH.length();
+        boolean knownPath = nameStart <= head.targetEnd && Bytes.matches(bytes, head.targetStart, nameStart, PATH);
+        int nameEnd = knownPath ? Bytes.indexOf(bytes, nameStart, head.targetEnd, '/') : -1;
         if (nameEnd < 0) {
             dispatcher.counters.badPath++;
             write(response("404 Not Found", "", ""));
             return;
         }
         int objectStart = nameEnd + 1;
-        int slash = Bytes.indexOf(bytes, objectStart, targetEnd, '/');
-        int objectEnd = slash < 0 ? targetEnd : slash;
+        int slash = Bytes.indexOf(bytes, objectStart, head.targetEnd, '/');
+        int objectEnd = slash < 0 ? head.targetEnd : slash;
         String name = Bytes.decode(bytes, nameStart, nameEnd);
         Integer workloadIndex = dispatcher.settings.workloads.get(name);
         boolean hasPart = slash >= 0;
         long part = hasPart ? parsePart(slash + 1) : 0;
         Workload workload = workloadIndex == null ? null : dispatcher.settings.workloadTable[workloadIndex];
         // Writes are PUT, reads are GET. Nodes are not told the method, and would answer either by its workload.
-        if (workload == null || put != workload.uncacheable() || !fieldsValid || idStart < 0 || part < 0
+        if (workload == null || head.put != workload.uncacheable() || !head.fieldsValid || head.idStart < 0 || part < 0
             || part > Integer.MAX_VALUE || !Bytes.isHex(bytes, objectStart, objectEnd)
-            || waitMs > MAX_TIMEOUT_FACTOR * workload.timeoutMs()
-            || sizeKb > MAX_TIMEOUT_FACTOR * workload.timeoutMs() * dispatcher.settings.flowKbPerMs) {
+            || head.waitMs > MAX_TIMEOUT_FACTOR * workload.timeoutMs()
+            || head.sizeKb > MAX_TIMEOUT_FACTOR * workload.timeoutMs() * dispatcher.settings.flowKbPerMs) {
             dispatcher.counters.badField++;
             write(response("400 Bad Request", "", ""));
             return;
         }
-        String clientEtag = etagStart < 0 ? null : Bytes.decode(bytes, etagStart, etagEnd);
+        String clientEtag = head.etagStart < 0 ? null : Bytes.decode(bytes, head.etagStart, head.etagEnd);
         String requestFields = requestFields(name, objectStart, objectEnd, hasPart, part, clientEtag);
         plan = -1;
-        if (dispatcher.memoryIsShort(bodyLength)) {
+        if (dispatcher.memoryIsShort(head.bodyLength)) {
             hasSentValidRequest = true;
             dispatcher.counters.outOfMemory++;
             write(response("503 Service Unavailable", retryAfterField(dispatcher.settings.maxRetryAfterMs), ""));
@@ -569,17 +415,18 @@
             write(response("503 Service Unavailable", retryAfter, ""));
             return;
         }
-        byte[] body = Arrays.copyOfRange(bytes, bodyStart, bodyStart + (int) bodyLength);
-        Lookup newLookup = new Lookup(this, Arrays.copyOfRange(bytes, idStart, idEnd), Bytes.encode(requestFields),
-            body, clientEtag, Bytes.parseHex(bytes, objectStart, objectEnd) & Long.MAX_VALUE, (int) group,
-            now + (Double.isNaN(waitMs) ? workload.timeoutMs() : waitMs), dispatcher.maxHops());
+        byte[] body = Arrays.copyOfRange(bytes, bodyStart, bodyStart + (int) head.bodyLength);
+        byte[] id = Arrays.copyOfRange(bytes, head.idStart, head.idEnd);
+        Lookup newLookup = new Lookup(this, id, Bytes.encode(requestFields), body, clientEtag,
+            Bytes.parseHex(bytes, objectStart, objectEnd) & Long.MAX_VALUE, (int) head.group,
+            now + (Double.isNaN(head.waitMs) ? workload.timeoutMs() : head.waitMs), dispatcher.maxHops());
         int decidedAs = workloadIndex;
         RouteConstraints constraints = null;
         Routing routing = dispatcher.activeRoutes == null ? null : dispatcher.activeRoutes.forObject(newLookup.object);
         if (dispatcher.activeRoutes != null) plan = dispatcher.activeRoutes.planNumber();
         if (routing != null) {
-            routing.setTarget(bytes, targetStart, targetEnd, nameStart, nameEnd, objectStart, objectEnd);
-            routing.setRequestFields(this, hasPart, part, group, sizeKb, waitMs, repeat);
+            routing.setTarget(bytes, head.targetStart, head.targetEnd, nameStart, nameEnd, objectStart, objectEnd);
+            routing.setRequestFields(this, hasPart, part, head.group, head.sizeKb, head.waitMs, head.repeat);
             RouteTable.Outcome outcome = routing.route(workloadIndex, dispatcher.maxHops(), now);
             if (outcome.status != 0) {
                 hasSentValidRequest = true;
@@ -591,7 +438,7 @@
             constraints = Routing.constraints(outcome, dispatcher.maxHops());
         }
         lookup = newLookup;
-        if (dispatcher.startLookup(newLookup, decidedAs, (int) part, sizeKb, repeat, constraints)) {
+        if (dispatcher.startLookup(newLookup, decidedAs, (int) part, head.sizeKb, head.repeat, constraints)) {
             hasSentValidRequest = true;
             return;
         }
@@ -609,8 +456,8 @@
     /** The number of the object's part, the last segment of the path, or -1 if it is malformed. */
     private long parsePart(int start) {
         int number = start + PART_PREFIX.length();
-        boolean prefixed = number < targetEnd && Bytes.matches(bytes, start, number, PART_PREFIX);
-        return prefixed ? Bytes.parseInteger(bytes, number, targetEnd) : -1;
+        boolean prefixed = number < head.targetEnd && Bytes.matches(bytes, start, number, PART_PREFIX);
+        return prefixed ? Bytes.parseInteger(bytes, number, head.targetEnd) : -1;
     }
 
     /** The fields of a node request that are the same for every hop. */
@@ -621,7 +468,7 @@
         if (hasPart) fields.append(",slice=").append(part);
         if (clientEtag != null) fields.append(",known=").append(clientEtag);
         // The client's token is passed on with every hop: the origin drops duplicate requests by it.
-        if (tokenStart >= 0) fields.append(",op=").append(Bytes.decode(bytes, tokenStart, tokenEnd));
+        if (head.tokenStart >= 0) fields.append(",op=").append(Bytes.decode(bytes, head.tokenStart, head.tokenEnd));
         return fields.toString();
     }
 
