Bytes behind those that were dropped are not read as their rest

Cause: a client that had sent too far ahead has bytes dropped, and nothing behind them may be read. Change: readAvailable() drops what it reads of such a client.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -226,7 +226,8 @@
         ByteBuffer input = Processor.readAvailable(session);
         for (int total = 0; input != null && total < MAX_READ_AT_ONCE_BYTES; input = Processor.readAvailable(session)) {
             total += input.remaining();
-            if (remaining() < MAX_HEAD_BYTES + RequestParser.MAX_WRITE_BODY_BYTES) append(input);
+            boolean kept = !readAheadTruncated && remaining() < MAX_HEAD_BYTES + RequestParser.MAX_WRITE_BODY_BYTES;
+            if (kept) append(input);
             else truncate(remaining());
             any = true;
         }
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -364,6 +364,38 @@
         }
     }
 
+    /** Guards against bytes that come after dropped ones and are taken for the rest of what was kept. */
+    @Test(timeOut = 30_000) public void nothingBehindDroppedBytesIsRead() throws Exception {
+        DirectorServer director = startDirector("node", Map.of());
+        try {
+            Outside a = client("a", director);
+            Outside n1 = parties.get("n1");
+            a.write(String.format(ASK, 10, 10, 20_000), false);
+            assertTrue(n1.read().startsWith("want 000000000000000a "));
+            String request = "GET /x HTTP/1.1||";
+            int requestBytes = request.replace("|", "\r\n").length();
+            int keptBytes = 128 << 10;
+            assertTrue(keptBytes % requestBytes > 0, "what is kept ends within a request");
+            a.write(request.repeat(keptBytes / requestBytes + 1000), false);
+            Fleet.awaitTrue("the rest is dropped", () -> counters(director).readAheadTruncated > 0);
+            director.dispatcher().enter();
+            try {
+                n1.write("000000000000000a DONE n=mem 2|ok|", false);   // blocks the reading thread on the lock
+                Dispatcher d = director.dispatcher();
+                Fleet.awaitTrue("the reading thread waits for the lock", () -> lockIsContended(d));
+                String cutOff = request.replace("|", "\r\n").substring(keptBytes % requestBytes);
+                a.write(cutOff + String.format(ASK, 11, 11, 20_000), false);
+            } finally {
+                director.dispatcher().leave();
+            }
+            a.readToEnd();
+            assertEquals(counters(director).badPath, keptBytes / requestBytes);
+            assertEquals(counters(director).hops, 1);
+        } finally {
+            release(director);
+        }
+    }
+
     /** The sizes of the arrays that hold what clients have sent. */
     private static long heldBytes(DirectorServer director) {
         director.dispatcher().enter();
