Counters and a log line that tell why a connection to discovery was given up

The log said only "no frame in time", which is the same for a connection that never came up, one that is up and silent, and one on which half a list has come; the counters had nothing on discovery at all.

Change: the line says whether the connection was up, how old it was, how many whole frames and how many bytes of the next it had brought; the line of counters has the connections to discovery, those that ended unheard, and the frames.

--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -32,6 +32,11 @@
     long up;
     long probes;
     long probesFit;
+    /** Connections to discovery begun, and of these the ones that ended without a frame. */
+    long discoveryConnects;
+    long discoveryUnheard;
+    /** Whole frames of discovery. */
+    long discoveryFrames;
     /** Malformed or oversized input, from clients, nodes and discovery. */
     long badHead;
     long longHead;
@@ -109,6 +114,8 @@
         s.append(", too far ahead ").append(readAheadTruncated).append(", crossed ").append(receivedAfterClose);
         s.append("; descriptors: awaited ").append(awaitedDescriptor);
         s.append(", closed for room ").append(closedForRoom);
+        s.append("; discovery: connects ").append(discoveryConnects).append(", unheard ").append(discoveryUnheard);
+        s.append(", frames ").append(discoveryFrames);
         if (notCurrent > 0) s.append("; not current ").append(notCurrent);
         s.append("; reloads ").append(reloads).append(", warnings kept back ").append(suppressedWarnings);
         warnings = 0;
--- a/src/main/java/mothcross/net/DiscoveryWatch.java
+++ b/src/main/java/mothcross/net/DiscoveryWatch.java
@@ -214,13 +214,16 @@
         /** When the last complete frame arrived, or the connection was opened or attempted. */
         private double lastFrameAt;
         private boolean established;
+        private final double attemptedAt = dispatcher.clock();
+        private long frames;
 
         FeedConnection() {
             super(DiscoveryWatch.this.dispatcher);
         }
 
         void connect() {
-            lastFrameAt = dispatcher.clock();
+            lastFrameAt = attemptedAt;
+            dispatcher.counters.discoveryConnects++;
             connecting = dispatcher.connector.connect(address, (session, future) -> bindSession(session));
             connecting.addListener(future -> {
                 if (connecting.getException() != null) dispatcher.runLocked(() -> end("connect failed"));
@@ -251,8 +254,11 @@
 
         private void end(String reason) {
             if (feed != this) return;
+            String received = String.format("%s (%s after %.0f ms: %d frames, %d bytes of the next)", reason,
+                established ? "up" : "not up", dispatcher.clock() - attemptedAt, frames, remaining());
+            if (frames == 0) dispatcher.counters.discoveryUnheard++;
             abort();
-            reconnectLater(reason);
+            reconnectLater(received);
         }
 
         @Override void opened() {
@@ -284,6 +290,8 @@
                 long event = readUnsigned(frameStart, EVENT_BYTES);
                 if (!frame(event, bytes[frameStart + EVENT_BYTES], payloadStart, frameEnd)) return;
                 connectionsWithoutFrame = 0;
+                frames++;
+                dispatcher.counters.discoveryFrames++;
                 firstFrame.countDown();
                 lastFrameAt = dispatcher.clock();
                 from = frameEnd;
