--- a/src/main/java/mothcross/membership/DiscoverySupervisor.java
+++ b/src/main/java/mothcross/membership/DiscoverySupervisor.java
@@ -24,7 +24,8 @@
  * that was due is not opened</td></tr>
  * <tr><td>any</td><td>ended</td><td>(removed)</td><td>a successor is due after a delay, unless a later connection is
  * under way and this one was never heard</td></tr>
- * <tr><td>any</td><td>discovery has another address</td><td>the same, superseded</td><td>a successor is due now</td></tr>
+ * <tr><td>any</td><td>discovery has another address</td><td>the same, superseded</td><td>a successor is due
+ * now</td></tr>
  * <tr><td>all of the current address</td><td>silent for too long</td><td>the same</td><td>a successor is due after a
  * delay</td></tr>
  * </table>
--- a/src/main/java/mothcross/policy/OpenLeaseRequests.java
+++ b/src/main/java/mothcross/policy/OpenLeaseRequests.java
@@ -5,9 +5,9 @@
 import java.util.TreeMap;
 
 /**
- * The lease requests of a replica that voters may still grant, the earliest first. A lease counts from when it was asked
- * for, so the reply to a request is of use until the lease has passed, also where later requests have been sent since:
- * voters that need long for each reply would otherwise never be heard.
+ * The lease requests of a replica that voters may still grant, the earliest first. A lease counts from when it was
+ * asked for, so the reply to a request is of use until the lease has passed, also where later requests have been sent
+ * since: voters that need long for each reply would otherwise never be heard.
  */
 final class OpenLeaseRequests {
     private static final class Request {
--- a/src/test/java/mothcross/membership/DiscoverySupervisorTest.java
+++ b/src/test/java/mothcross/membership/DiscoverySupervisorTest.java
@@ -22,8 +22,8 @@
         DiscoverySupervisor.FRAME_TIMEOUT_MS + DiscoverySupervisor.MAX_RECONNECT_DELAY_MS + 2 * STEP_MS;
 
     /**
-     * Between the ages of two connections that are kept at the bound on sockets. Two of the eight are the earliest and the
-     * latest; the ages of six, from 2 s to the 10 minutes of the longest outage here, are 300^(1/6) = 2.6 apart.
+     * Between the ages of two connections that are kept at the bound on sockets. Two of the eight are the earliest and
+     * the latest; the ages of six, from 2 s to the 10 minutes of the longest outage here, are 300^(1/6) = 2.6 apart.
      */
     private static final double AGE_FACTOR = 3;
 
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -227,7 +227,7 @@
         }
     }
 
-    /** Unfinished frames on several connections hold no more memory than one; the connection that is furthest goes on. */
+    /** Unfinished frames on several connections hold no more memory than one; the one that is furthest goes on. */
     @Test(timeOut = 30_000) public void unfinishedFramesAreBoundedTogether() throws Exception {
         DirectorServer director = null;
         try {
--- a/src/test/java/mothcross/net/SlowDiscoveryTest.java
+++ b/src/test/java/mothcross/net/SlowDiscoveryTest.java
@@ -40,8 +40,8 @@
     }
 
     /**
-     * Guards against a draining node that gets work, and a purged copy that is served, for as long as discovery is slower
-     * than the director's time-out for a frame: each connection was ended before its first frame.
+     * Guards against a draining node that gets work, and a purged copy that is served, for as long as discovery is
+     * slower than the director's time-out for a frame: each connection was ended before its first frame.
      */
     @Test(dataProvider = "seeds", timeOut = 120_000)
     public void newsFromBeforeTheFirstFrameIsHeard(long seed) throws Exception {
@@ -55,7 +55,8 @@
             for (FakeDiscovery each : all) each.restartNumbering(2);
             // Each connection waits another time, from half of the slowest on.
             SplittableRandom delays = random.split();
-            for (FakeDiscovery each : way == Way.START ? all : List.of(second, third)) makeSlow(each, delays, slowestMs);
+            List<FakeDiscovery> slow = way == Way.START ? all : List.of(second, third);
+            for (FakeDiscovery each : slow) makeSlow(each, delays, slowestMs);
             for (FakeDiscovery each : all) each.startListening();
             DirectorServer director = start(fleet);
             if (way != Way.START) Fleet.awaitTrue(play + "heard", () -> frames(director) > 0);
@@ -110,9 +111,10 @@
         JsonObject config = JsonParser.parseString(fleet.startupConfigText("d1")).getAsJsonObject();
         JsonArray members = new JsonArray();
         for (FakeNode node : fleet.all()) {
+            String kind = List.of("cache", "parent", "origin").get(node.kind());
             members.add(JsonParser.parseString(String.format("{\"id\":\"%s\",\"host_port\":\"127.0.0.1:%d\","
                 + "\"locality\":\"here\",\"flavor\":\"%s\",\"cell\":0,\"phase\":\"in_service\",\"size\":4,"
-                + "\"up_since_ms\":0}", node.id(), node.port(), List.of("cache", "parent", "origin").get(node.kind()))));
+                + "\"up_since_ms\":0}", node.id(), node.port(), kind)));
         }
         config.add("known", JsonParser.parseString("{\"no\":1,\"items\":[{\"no\":1,\"roster\":{\"revision\":1,"
             + "\"complete\":true,\"members\":" + members + "}}]}"));
--- a/src/test/java/mothcross/policy/PolicyReplicaTest.java
+++ b/src/test/java/mothcross/policy/PolicyReplicaTest.java
@@ -29,15 +29,19 @@
             Map.of("d", new PolicyRegister.Registration(1, "127.0.0.1", 1, false)), plan, null, List.of(), true);
     }
 
+    private static PolicyReplica newReplica() {
+        return new PolicyReplica("d", 1, PolicyRegister.initial(VoterSet.initial(Set.of()), LEASE_MS));
+    }
+
     /**
-     * Guards against a director that stops deciding lookups because its voters need longer for each reply than a quarter
-     * of the lease: each reply came when the next request was out, and did not count.
+     * Guards against a director that stops deciding lookups because its voters need longer for each reply than a
+     * quarter of the lease: each reply came when the next request was out, and did not count.
      */
     @Test public void slowVotersKeepALease() {
         for (int seed = 0; seed < 100; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             double slowestMs = random.nextDouble() * SLOWEST_IN_TIME_MS;
-            PolicyReplica replica = new PolicyReplica("d", 1, PolicyRegister.initial(VoterSet.initial(Set.of()), LEASE_MS));
+            PolicyReplica replica = newReplica();
             replica.learn(register(1));
             PriorityQueue<Reply> replies = new PriorityQueue<>((x, y) -> Double.compare(x.at, y.at));
             Map<Long, Double> askedAt = new HashMap<>();
@@ -71,7 +75,7 @@
 
     /** What voters granted under a register does not count once a later one is known. */
     @Test public void grantsOfAnEarlierRegisterDoNotCount() {
-        PolicyReplica replica = new PolicyReplica("d", 1, PolicyRegister.initial(VoterSet.initial(Set.of()), LEASE_MS));
+        PolicyReplica replica = newReplica();
         replica.learn(register(1));
         long first = replica.nextLeaseRequest(0).number();
         long second = replica.nextLeaseRequest(LEASE_MS / 4).number();
