What a start is told outranks the kept list; event numbers of two starts are not compared

After a planned restart a director serves purged copies and sends work to a draining cache, though the new start's configuration and discovery tell both.

Cause: the platform numbers events anew at each start of a director. PersistentMembership.start took the kept list for the newer one by its higher number, of the life before, asked discovery from there on, and dropped the events of the new start as known ones.

Change: StartingList makes the list of a start: the configured one, with its number, and of the kept one the purges and the evidence, or its nodes where none are configured.

--- a/src/main/java/mothcross/membership/Membership.java
+++ b/src/main/java/mothcross/membership/Membership.java
@@ -65,6 +65,8 @@
     /** In the order received; dropped when they expire. */
     private final List<Purge> purges = new ArrayList<>();
     private PMap<String, ListedNode> persistedNodes = HashTreePMap.empty();
+    /** Which numbering {@link #lastEvent} belongs to; numbers of two numberings are never compared. */
+    private long numbering;
     private long lastEvent;
     /** When discovery last confirmed the whole list. */
     private double confirmedAt = Double.NEGATIVE_INFINITY;
@@ -102,6 +104,7 @@
 
     /** Loads a saved snapshot. None of its entries counts as confirmed in this run. */
     public void restore(MembershipSnapshot snapshot, double now) {
+        numbering = snapshot.numbering();
         lastEvent = snapshot.lastEvent();
         confirmedAt = snapshot.confirmedAt();
         for (ListedNode node : snapshot.entries().values()) {
@@ -301,7 +304,8 @@
     public boolean confirmUpTo(long event, double now) {
         discoveryBehind = event < lastEvent;
         if (discoveryBehind) return false;
-        if (event == lastEvent) confirm(now);
+        // Before the first event of a numbering the list is from an earlier one, of which the heartbeat says nothing.
+        if (event == lastEvent && lastEvent > 0) confirm(now);
         return true;
     }
 
@@ -348,6 +352,7 @@
                 remove(entry, "the list was reset to an older discovery state", now);
             }
         }
+        numbering++;
         lastEvent = 0;
         discoveryBehind = false;
         confirmedAt = Double.NEGATIVE_INFINITY;
@@ -490,7 +495,8 @@
                 nodes = nodes.plus(entry.listed.id(), entry.listed.withStatus(Director.REMOVED, entry.withheldAt));
             }
         }
-        return new MembershipSnapshot(fleet, director, now, lastEvent, confirmedAt, nodes, List.copyOf(purges));
+        return new MembershipSnapshot(fleet, director, now, numbering, lastEvent, confirmedAt, nodes,
+            List.copyOf(purges));
     }
 
     /** The node's state; null for an unknown node. */
--- a/src/main/java/mothcross/membership/SnapshotFormat.java
+++ b/src/main/java/mothcross/membership/SnapshotFormat.java
@@ -54,7 +54,9 @@
     }
 
     private static final long MAGIC = 0x6d6f74686c697374L;            // "mothlist"
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
+    /** The version of earlier builds, which lacks the numbering: it is read as numbering 0. */
+    private static final int VERSION_WITHOUT_NUMBERING = 1;
     private static final int HEADER_BYTES = 24;
     /** Where the body's length stands in the header. */
     private static final int BODY_LENGTH_AT = 12;
@@ -78,6 +80,7 @@
         writer.putString(snapshot.fleet());
         writer.putString(snapshot.director());
         writer.putDouble(snapshot.savedAt());
+        writer.reserve(Long.BYTES).putLong(snapshot.numbering());
         writer.reserve(Long.BYTES).putLong(snapshot.lastEvent());
         writer.putDouble(snapshot.confirmedAt());
         // There are few zones and kinds: each name is written once.
@@ -137,8 +140,9 @@
         if (headerChecksum != checksum(bytes, 0, HEADER_BYTES - Integer.BYTES)) {
             return Result.failed(ReadError.DAMAGED, "checksum mismatch in the header");
         }
-        if (version != VERSION) {
-            return Result.failed(ReadError.OTHER_VERSION, "version " + version + ", this program reads " + VERSION);
+        if (version != VERSION && version != VERSION_WITHOUT_NUMBERING) {
+            return Result.failed(ReadError.OTHER_VERSION, "version " + version + ", this program reads "
+                + VERSION_WITHOUT_NUMBERING + " and " + VERSION);
         }
         if (bodyLength != bytes.length - HEADER_BYTES) {
             return Result.failed(ReadError.TORN, "the body has " + (bytes.length - HEADER_BYTES)
@@ -149,7 +153,7 @@
         }
         MembershipSnapshot snapshot;
         try {
-            snapshot = readBody(in);
+            snapshot = readBody(in, version);
         } catch (BufferUnderflowException | IndexOutOfBoundsException | IllegalArgumentException e) {
             return Result.failed(ReadError.DAMAGED, "the body is malformed");
         }
@@ -179,10 +183,11 @@
         return Arrays.copyOf(bytes, HEADER_BYTES + bodyLength);
     }
 
-    private static MembershipSnapshot readBody(ByteBuffer in) {
+    private static MembershipSnapshot readBody(ByteBuffer in, int version) {
         String fleet = readString(in);
         String director = readString(in);
         double savedAt = readDouble(in);
+        long numbering = version == VERSION_WITHOUT_NUMBERING ? 0 : in.getLong();
         long lastEvent = in.getLong();
         double confirmedAt = readDouble(in);
         String[] names = new String[readCount(in, MIN_STRING_BYTES)];
@@ -198,7 +203,7 @@
         }
         if (in.hasRemaining()) throw new IllegalArgumentException("trailing bytes");
         PMap<String, ListedNode> entries = HashTreePMap.from(nodes);
-        return new MembershipSnapshot(fleet, director, savedAt, lastEvent, confirmedAt, entries, purges);
+        return new MembershipSnapshot(fleet, director, savedAt, numbering, lastEvent, confirmedAt, entries, purges);
     }
 
     private static ListedNode readNode(ByteBuffer in, String[] names) {
--- a/src/main/java/mothcross/net/ConfiguredList.java
+++ b/src/main/java/mothcross/net/ConfiguredList.java
@@ -87,7 +87,7 @@
             entries.put(node.id, new ListedNode(node.id, node.address.getHostString(), node.address.getPort(),
                 node.zone, node.kind, node.cell, node.status, node.units, node.startedAt, writtenAt, 0, true));
         }
-        return new MembershipSnapshot(fleet, director, writtenAt, known.get("no").getAsLong(), writtenAt,
+        return new MembershipSnapshot(fleet, director, writtenAt, 0, known.get("no").getAsLong(), writtenAt,
             HashTreePMap.from(entries), knownPurges(items));
     }
 
--- a/src/main/java/mothcross/net/PersistentMembership.java
+++ b/src/main/java/mothcross/net/PersistentMembership.java
@@ -19,6 +19,7 @@
 import mothcross.membership.NodeState;
 import mothcross.membership.Purge;
 import mothcross.membership.SnapshotFormat;
+import mothcross.membership.StartingList;
 import mothcross.membership.WriteScheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -101,23 +102,21 @@
     // ---- start and reload ----
 
     /**
-     * Restores the stored snapshot or the configured one, whichever has the higher event number. {@code configured}
-     * is null where the configuration has no list.
+     * Restores the list that {@link StartingList} makes of the stored snapshot and the configured one.
+     * {@code configured} is null where the configuration has no list.
      */
     void start(MembershipSnapshot configured) {
         double now = now();
         SnapshotFormat.Result stored = store.read(now, clockSkewMs);
-        MembershipSnapshot snapshot = stored == null ? null : stored.snapshot();
+        MembershipSnapshot kept = stored == null ? null : stored.snapshot();
         if (stored != null && stored.error() != null) {
             readErrors.merge(stored.error(), 1, Integer::sum);
             LOG.atWarn().addKeyValue("reason", stored.error()).log("list: snapshot not used: {}", stored.text());
         }
-        boolean configuredIsNewer = configured != null
-            && (snapshot == null || configured.lastEvent() > snapshot.lastEvent());
-        if (configuredIsNewer) snapshot = configured;
+        MembershipSnapshot snapshot = StartingList.choose(configured, kept);
         if (snapshot != null) {
             membership.restore(snapshot, now);
-            LOG.atInfo().addKeyValue("from", snapshot == configured ? "configuration" : "disk")
+            LOG.atInfo().addKeyValue("from", fromConfiguration(configured, kept) ? "configuration" : "disk")
                 .addKeyValue("event", snapshot.lastEvent()).addKeyValue("boxes", snapshot.entries().size())
                 .addKeyValue("age_s", Math.round((now - snapshot.confirmedAt()) / 1000))
                 .addKeyValue("recent", membership.count(NodeState.RECENT))
@@ -126,6 +125,8 @@
         } else {
             LOG.atInfo().log("list: no snapshot; all lookups wait for discovery");
         }
+        // What the configuration told may be told by nobody again, and belongs to a new numbering.
+        if (configured != null) persistence.changed(true, now);
         dispatcher.setHopObserver(this);
         dispatcher.processBatch(to -> {
             to.listStarted(Director.LIST_RESTORED);
@@ -138,6 +139,10 @@
         scheduleTick();
     }
 
+    private static boolean fromConfiguration(MembershipSnapshot configured, MembershipSnapshot kept) {
+        return kept == null || configured != null && !configured.entries().isEmpty();
+    }
+
     private void scheduleTick() {
         dispatcher.timers.set(new Timers.Timer() {
             @Override void fire() {
--- a/src/test/java/mothcross/net/Fleet.java
+++ b/src/test/java/mothcross/net/Fleet.java
@@ -1,5 +1,6 @@
 package mothcross.net;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.nio.file.Files;
@@ -66,7 +67,7 @@
             entries.put(node.id(), new ListedNode(node.id(), "127.0.0.1", node.port(), "here", kind, 0,
                 Director.IN_SERVICE, node.units(), 0, confirmedAt, 0, false));
         }
-        return writeSnapshot(name, new MembershipSnapshot("fleet", name, now - ageMs, 10, now - ageMs,
+        return writeSnapshot(name, new MembershipSnapshot("fleet", name, now - ageMs, 0, 10, now - ageMs,
             HashTreePMap.from(entries), List.<Purge>of()));
     }
 
@@ -93,6 +94,22 @@
         return config.toString();
     }
 
+    /** The configuration file of a director, with a list of all nodes as of event 1, and discovery at this address. */
+    JsonObject configWithList(String name, FakeDiscovery listedBy) throws Exception {
+        JsonObject config = JsonParser.parseString(startupConfigText(name)).getAsJsonObject();
+        JsonArray members = new JsonArray();
+        for (FakeNode node : all()) {
+            String kind = List.of("cache", "parent", "origin").get(node.kind());
+            members.add(JsonParser.parseString(String.format("{\"id\":\"%s\",\"host_port\":\"127.0.0.1:%d\","
+                + "\"locality\":\"here\",\"flavor\":\"%s\",\"cell\":0,\"phase\":\"in_service\",\"size\":4,"
+                + "\"up_since_ms\":0}", node.id(), node.port(), kind)));
+        }
+        config.add("known", JsonParser.parseString("{\"no\":1,\"items\":[{\"no\":1,\"roster\":{\"revision\":1,"
+            + "\"complete\":true,\"members\":" + members + "}}]}"));
+        config.addProperty("bulletin", "127.0.0.1:" + listedBy.port());
+        return config;
+    }
+
     StartupConfig startupConfig(String name) throws Exception {
         return StartupConfig.parse(JsonParser.parseString(startupConfigText(name)).getAsJsonObject(), null, false, 0);
     }
--- a/src/test/java/mothcross/net/MeasureMembership.java
+++ b/src/test/java/mothcross/net/MeasureMembership.java
@@ -162,7 +162,7 @@
                     entries.put("s-" + i, new ListedNode("s-" + i, host, 80, "here", "cache", 0, Director.IN_SERVICE,
                         4, 0, 1000, 0, true));
                 }
-                MembershipSnapshot snapshot = new MembershipSnapshot("fleet", "d1", 1000, 10, 1000,
+                MembershipSnapshot snapshot = new MembershipSnapshot("fleet", "d1", 1000, 0, 10, 1000,
                     HashTreePMap.from(entries), List.of());
                 double[] t = new double[7];
                 t[0] = System.nanoTime();
--- a/src/test/java/mothcross/net/RememberedTest.java
+++ b/src/test/java/mothcross/net/RememberedTest.java
@@ -356,6 +356,34 @@
         }
     }
 
+    /**
+     * Guards against a kept list that outranks the configured one by its higher event number: at each start of a
+     * director events count anew, and those of the new start were taken for known ones.
+     */
+    @Test public void eventsOfANewStartCountThoughTheKeptListHasMore() throws Exception {
+        try (Fleet fleet = new Fleet(2)) {
+            fleet.writeSnapshot("d1", 60_000, 0, List.of(), fleet.all());      // as of event 10
+            fleet.discovery.restartNumbering(2);
+            FakeNode draining = fleet.caches.get(0);
+            fleet.discovery.sendChanges(FakeDiscovery.DRAINING, draining);
+            long event = fleet.discovery.sendPurge(17, System.currentTimeMillis());
+            fleet.discovery.startListening();
+            StartupConfig config = StartupConfig.parse(fleet.configWithList("d1", fleet.discovery), null, true, 0);
+            DirectorServer director = new DirectorServer(config, fleet.membershipSettings("d1", Fleet.AGES));
+            fleet.directors.add(director);
+            director.start();
+            Fleet.awaitTrue("event " + event, () -> Fleet.lastEvent(director) == event);
+            try (FakeClients.Client client = new FakeClients.Client(director.port())) {
+                for (int i = 0; i < 20; i++) assertEquals(client.status(i, 10, 17), 200);
+            }
+            assertEquals(draining.arrivalCount(), 0);
+            for (FakeNode.Arrival arrival : fleet.caches.get(1).arrivals()) {
+                assertTrue(arrival.line().contains(",fresh="), arrival.line());
+            }
+            Fleet.awaitTrue("it is kept", () -> storedEvent(fleet, "d1") == event);
+        }
+    }
+
     /** A node from an old snapshot that has not answered yet gets one hop at a time; other lookups are rejected. */
     @Test public void oldNodeGetsOneHopAtATime() throws Exception {
         try (Fleet fleet = new Fleet(1)) {
--- a/src/test/java/mothcross/net/SlowDiscoveryTest.java
+++ b/src/test/java/mothcross/net/SlowDiscoveryTest.java
@@ -4,9 +4,6 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -108,18 +105,7 @@
     }
 
     private static StartupConfig config(Fleet fleet, FakeDiscovery discovery) throws Exception {
-        JsonObject config = JsonParser.parseString(fleet.startupConfigText("d1")).getAsJsonObject();
-        JsonArray members = new JsonArray();
-        for (FakeNode node : fleet.all()) {
-            String kind = List.of("cache", "parent", "origin").get(node.kind());
-            members.add(JsonParser.parseString(String.format("{\"id\":\"%s\",\"host_port\":\"127.0.0.1:%d\","
-                + "\"locality\":\"here\",\"flavor\":\"%s\",\"cell\":0,\"phase\":\"in_service\",\"size\":4,"
-                + "\"up_since_ms\":0}", node.id(), node.port(), kind)));
-        }
-        config.add("known", JsonParser.parseString("{\"no\":1,\"items\":[{\"no\":1,\"roster\":{\"revision\":1,"
-            + "\"complete\":true,\"members\":" + members + "}}]}"));
-        config.addProperty("bulletin", "127.0.0.1:" + discovery.port());
-        return StartupConfig.parse(config, null, true, 0);
+        return StartupConfig.parse(fleet.configWithList("d1", discovery), null, true, 0);
     }
 
     private static long frames(DirectorServer director) {
--- a/src/test/java/mothcross/net/SnapshotFileStoreTest.java
+++ b/src/test/java/mothcross/net/SnapshotFileStoreTest.java
@@ -20,7 +20,7 @@
     private static final double CLOCK_SKEW_MS = 5000;
 
     private static MembershipSnapshot snapshot(long event, double savedAt) {
-        return new MembershipSnapshot("fleet", "d1", savedAt, event, savedAt, HashTreePMap.empty(), List.of());
+        return new MembershipSnapshot("fleet", "d1", savedAt, 0, event, savedAt, HashTreePMap.empty(), List.of());
     }
 
     private static SnapshotFormat.Result read(SnapshotFileStore store) {
@@ -92,7 +92,7 @@
     @Test public void aShorterListReplacesALongerOne() throws Exception {
         SnapshotFileStore store = new SnapshotFileStore(Files.createTempDirectory("mothcross").resolve("list"), "fleet",
             "d1");
-        MembershipSnapshot longer = new MembershipSnapshot("fleet", "d1", NOW, 1, NOW, HashTreePMap.empty(),
+        MembershipSnapshot longer = new MembershipSnapshot("fleet", "d1", NOW, 0, 1, NOW, HashTreePMap.empty(),
             List.of(new Purge(1, 2, NOW), new Purge(3, 4, NOW)));
         store.write(longer);
         store.write(longer);
--- a/src/test/java/mothcross/net/SnapshotPersistenceTest.java
+++ b/src/test/java/mothcross/net/SnapshotPersistenceTest.java
@@ -53,7 +53,7 @@
         }
 
         private MembershipSnapshot state(double at) {
-            return new MembershipSnapshot("fleet", "d1", at, changes.size(), at, HashTreePMap.empty(), List.of());
+            return new MembershipSnapshot("fleet", "d1", at, 0, changes.size(), at, HashTreePMap.empty(), List.of());
         }
 
         private void write(MembershipSnapshot snapshot) {
