An empty line ahead of a request may come in two pieces

What callers saw: 400 and a close, where the CR of an empty line ahead of a request is read before its LF.

Cause: empty lines were skipped only while nothing of the head had been searched, and a lone CR counts as searched.

Change: they are skipped wherever a head begins. EndingsTest.emptyLineMayComeInPieces waits until the first piece has been read; it failed before, and passes.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -303,7 +303,10 @@
         boolean upToDate = false;
         while (lookup == null && state == State.OPEN && remaining() > 0) {
             // Empty lines before a request are skipped, as RFC 9112 asks of servers.
-            while (scannedBytes == 0 && remaining() > 1 && bytes[from] == '\r' && bytes[from + 1] == '\n') from += 2;
+            while (remaining() > 1 && bytes[from] == '\r' && bytes[from + 1] == '\n') {
+                from += 2;
+                scannedBytes = 0;
+            }
             int headEnd = findHeadEnd();
             if (headEnd < 0) {
                 if (remaining() > MAX_HEAD_BYTES) refuseLongHead();
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -307,6 +307,24 @@
         }
     }
 
+    /** Guards against an empty line ahead of a request being taken for its end where it comes in two pieces. */
+    @Test(timeOut = 30_000) public void emptyLineMayComeInPieces() throws Exception {
+        DirectorServer director = startDirector("node", Map.of());
+        try {
+            Outside a = client("a", director);
+            a.write("\r", false);
+            Fleet.awaitTrue("the first piece is read", () -> {
+                long[] held = new long[1];
+                director.dispatcher().runLocked(() -> held[0] = director.dispatcher().unreadMemory.usedBytes());
+                return held[0] > 0;
+            });
+            a.write("\n|GET /-/healthy HTTP/1.1||", false);
+            assertTrue(a.read().startsWith("HTTP/1.1 200 "));
+        } finally {
+            release(director);
+        }
+    }
+
     /** A body of 60 MB is refused by its head; the client gets the refusal, and the close follows within 6 s. */
     @Test(timeOut = 30_000) public void hugeBodyIsRefusedBeforeClose() throws Exception {
         DirectorServer director = startDirector("node", Map.of("writes", "true"));
