The time of a request counts from its last byte, also where it waits behind others

Of 60 requests sent at once on a connection over half are answered over 0.5 s after their time.

Cause: ClientConnection.processRequest gave each request its time when its turn came.

EndingsTest.timeOfRequestsSentAtOnceCountsFromTheirLastByte failed before, and passes.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -91,6 +91,7 @@
     private boolean readAheadTruncated;
     /** How many bytes were not consumed when they were received last. */
     private int unreadBytes;
+    private final ArrivalTimes arrivalTimes = new ArrivalTimes();
     /** Of the latest answer. */
     private WriteFuture lastWrite;
     /** How many bytes of an incomplete head have been searched for its end. */
@@ -227,7 +228,10 @@
         for (int total = 0; input != null && total < MAX_READ_AT_ONCE_BYTES; input = Processor.readAvailable(session)) {
             total += input.remaining();
             boolean kept = !readAheadTruncated && remaining() < MAX_HEAD_BYTES + RequestParser.MAX_WRITE_BODY_BYTES;
-            if (kept) append(input);
+            if (kept) {
+                arrivalTimes.received(input.remaining(), dispatcher.clock());
+                append(input);
+            }
             else truncate(remaining());
             any = true;
         }
@@ -256,6 +260,7 @@
         if (state != State.OPEN) dispatcher.counters.receivedAfterClose++;
         idleSuspected = false;
         if (readAheadTruncated) to = from + unreadBytes;    // nothing after the dropped bytes can be read
+        arrivalTimes.received(remaining() - unreadBytes, dispatcher.clock());
         if (!awaitingTurn) readRequests();
         if (state != State.OPEN) {                          // the last answer is being written
             discardedBytes += remaining();
@@ -295,6 +300,7 @@
     private void truncate(int keptBytes) {
         if (!readAheadTruncated) dispatcher.counters.readAheadTruncated++;
         readAheadTruncated = true;
+        arrivalTimes.dropped(remaining() - keptBytes);
         unreadBytes = keptBytes;
         to = from + keptBytes;
     }
@@ -342,7 +348,7 @@
             from = headEnd + (int) head.bodyLength;     // consumed first: the answer may close the connection
             awaited = Awaited.NOTHING;
             processing = true;
-            processRequest(headEnd);
+            processRequest(headEnd, arrivalTimes.consumed(remaining(), dispatcher.clock()));
             processing = false;
             if (lookup == null && state == State.OPEN && remaining() > 0) {
                 awaitTurn();
@@ -372,7 +378,8 @@
         return -1;
     }
 
-    private void processRequest(int bodyStart) {
+    /** {@code readAt} is when the last byte of the request was read. */
+    private void processRequest(int bodyStart, double readAt) {
         double now = dispatcher.clock();
         if (!head.put && Bytes.matches(bytes, head.targetStart, head.targetEnd, HEALTH_PATH)) {
             answerHealthCheck();
@@ -406,6 +413,13 @@
         String clientEtag = head.etagStart < 0 ? null : Bytes.decode(bytes, head.etagStart, head.etagEnd);
         String requestFields = requestFields(name, objectStart, objectEnd, hasPart, part, clientEtag);
         plan = -1;
+        double expiresAt = readAt + (Double.isNaN(head.waitMs) ? workload.timeoutMs() : head.waitMs);
+        if (now >= expiresAt) {
+            hasSentValidRequest = true;
+            dispatcher.counters.expiredInTurn++;
+            write(response("503 Service Unavailable", "", ""));
+            return;
+        }
         if (dispatcher.memoryIsShort(head.bodyLength)) {
             hasSentValidRequest = true;
             dispatcher.counters.outOfMemory++;
@@ -423,7 +437,7 @@
         byte[] id = Arrays.copyOfRange(bytes, head.idStart, head.idEnd);
         Lookup newLookup = new Lookup(this, id, Bytes.encode(requestFields), body, clientEtag,
             Bytes.parseHex(bytes, objectStart, objectEnd) & Long.MAX_VALUE, (int) head.group,
-            now + (Double.isNaN(head.waitMs) ? workload.timeoutMs() : head.waitMs), dispatcher.maxHops());
+            expiresAt, dispatcher.maxHops());
         int decidedAs = workloadIndex;
         RouteConstraints constraints = null;
         Routing routing = dispatcher.activeRoutes == null ? null : dispatcher.activeRoutes.forObject(newLookup.object);
--- a/src/main/java/mothcross/net/Counters.java
+++ b/src/main/java/mothcross/net/Counters.java
@@ -63,6 +63,8 @@
     long readAheadTruncated;
     /** Requests refused, and answers of nodes given up, because memory ran short. */
     long outOfMemory;
+    /** Requests refused because their time was over when their turn came. */
+    long expiredInTurn;
     /** Requests refused because their id belongs to one that may have run. */
     long repeatedIds;
     /** Reads on client connections after our side had begun to close. */
@@ -112,6 +114,7 @@
         s.append("; clients: slow to ask ").append(slowHead).append(", left idle ").append(idle);
         s.append(", slow readers ").append(slowReaders).append(", crowded ").append(evicted);
         s.append(", short of memory ").append(outOfMemory);
+        s.append(", expired in turn ").append(expiredInTurn);
         s.append(", repeated ").append(repeatedIds);
         s.append(", too far ahead ").append(readAheadTruncated).append(", crossed ").append(receivedAfterClose);
         s.append("; descriptors: awaited ").append(awaitedDescriptor);
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -325,6 +325,34 @@
         }
     }
 
+    /**
+     * Guards against requests that are sent at once getting their time from their turn on: it counts from the last byte,
+     * and one whose time is over when its turn comes is refused at once and not sent on.
+     */
+    @Test(timeOut = 30_000) public void timeOfRequestsSentAtOnceCountsFromTheirLastByte() throws Exception {
+        DirectorServer director = startDirector("node", Map.of());
+        try {
+            Outside a = client("a", director), n1 = parties.get("n1");
+            a.write(String.format(ASK, 10, 10, 1500) + String.format(ASK, 11, 11, 300)
+                + String.format(ASK, 12, 12, 2900), false);
+            assertTrue(n1.read().startsWith("want 000000000000000a "));
+            assertTrue(a.read().matches("HTTP/1.1 50[23] .*"), "never answered by the node");
+            assertTrue(a.read().startsWith("HTTP/1.1 503 "), "its time was over long before");
+            String afterFirst = n1.readToEnd();             // a connection on which nothing came is given up
+            assertFalse(afterFirst.contains("want 000000000000000b "), afterFirst);
+            n1.close(false);
+            String line = n1.read();
+            assertTrue(line.startsWith("want 000000000000000c "), line);
+            int patienceMs = Integer.parseInt(line.replaceAll(".*,patience=(\\d+).*\\R*", "$1"));
+            assertTrue(patienceMs <= 1400, "what is left of 2,900 ms after 1,500: " + line);
+            n1.write("000000000000000c DONE n=mem 2|ok|", false);
+            assertTrue(a.read().endsWith("||ok"));
+            assertEquals(counters(director).expiredInTurn, 1);
+        } finally {
+            release(director);
+        }
+    }
+
     /** A body of 60 MB is refused by its head; the client gets the refusal, and the close follows within 6 s. */
     @Test(timeOut = 30_000) public void hugeBodyIsRefusedBeforeClose() throws Exception {
         DirectorServer director = startDirector("node", Map.of("writes", "true"));
