An answer closes its connection only where nothing that was read is left to be answered

At SIGTERM clients with several requests on one connection get the answer to the first, and none to those that were read behind it.

Cause: every answer after SIGTERM, or while descriptors run short, closed its connection, and shutDown drops what has been read.

Change: ClientConnection.shouldClose, asked by each answer, closes only where nothing is read behind it.

--- a/src/main/java/mothcross/net/ClientConnection.java
+++ b/src/main/java/mothcross/net/ClientConnection.java
@@ -509,8 +509,16 @@
 
     // ---- final answers ----
 
+    /**
+     * Whether the answer being written is to be the last one: the process stops, or descriptors run short, and nothing
+     * is read that is still to be answered.
+     */
+    private boolean shouldClose() {
+        return remaining() == 0 && (dispatcher.underDescriptorPressure() || dispatcher.draining);
+    }
+
     void sendSuccess(Hop hop) {
-        closeAfterAnswer |= dispatcher.underDescriptorPressure() || dispatcher.draining;
+        closeAfterAnswer |= shouldClose();
         StringBuilder fields = new StringBuilder(RESPONSE_HEAD_CHARS);
         if (hop.notModified) fields.append("HTTP/1.1 304 Not Modified\r\n");
         else {
@@ -550,7 +558,7 @@
     }
 
     private IoBuffer response(String status, String fields, String body) {
-        closeAfterAnswer |= dispatcher.underDescriptorPressure() || dispatcher.draining;
+        closeAfterAnswer |= shouldClose();
         String end = closeAfterAnswer ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
         return IoBuffer.wrap(Bytes.encode("HTTP/1.1 " + status + "\r\n" + fields + planField() + "Content-Length: "
             + body.length() + end + body));
