--- a/src/main/java/mothcross/net/ArrivalTimes.java
+++ b/src/main/java/mothcross/net/ArrivalTimes.java
@@ -3,9 +3,9 @@
 import java.util.Arrays;
 
 /**
- * When the bytes that a connection holds were read, so that the time of a request counts from its last byte however long
- * it waits for its turn. Bytes read within {@link #RESOLUTION_MS} count as read together, with the first of them; so do
- * those past the bound on what is remembered.
+ * When the bytes that a connection holds were read, so that the time of a request counts from its last byte however
+ * long it waits for its turn. Bytes read within {@link #RESOLUTION_MS} count as read together, with the first of them;
+ * so do those past the bound on what is remembered.
  */
 final class ArrivalTimes {
     private static final double RESOLUTION_MS = 10;
--- a/src/main/java/mothcross/net/DescriptorBudget.java
+++ b/src/main/java/mothcross/net/DescriptorBudget.java
@@ -9,7 +9,7 @@
  * clients, and have to give back more as further clients connect, down to a sixth.
  */
 final class DescriptorBudget {
-    /** For the files of the Java runtime, selectors, the listening socket and discovery. */
+    /** For the files of the Java runtime, selectors, the listening socket and the connections to discovery. */
     private static final int MAX_PROCESS_DESCRIPTORS = 32;
 
     private int limit;
--- a/src/test/java/mothcross/net/EndingsTest.java
+++ b/src/test/java/mothcross/net/EndingsTest.java
@@ -326,8 +326,8 @@
     }
 
     /**
-     * Guards against requests that are sent at once getting their time from their turn on: it counts from the last byte,
-     * and one whose time is over when its turn comes is refused at once and not sent on.
+     * Guards against requests that are sent at once getting their time from their turn on: it counts from the last
+     * byte, and one whose time is over when its turn comes is refused at once and not sent on.
      */
     @Test(timeOut = 30_000) public void timeOfRequestsSentAtOnceCountsFromTheirLastByte() throws Exception {
         DirectorServer director = startDirector("node", Map.of());
