A test of drains and purges judges by when a request was sent, not by when it arrived

It took a request that the stand-in recorded after the news for one sent after it.

What is asked stays, by the time left of the request when it was written: nothing sent after the drain to the draining nodes, an age bound on all that is sent after the purge, and 40 such requests at least, all of them asked after the news.

--- a/src/test/java/mothcross/net/RememberedTest.java
+++ b/src/test/java/mothcross/net/RememberedTest.java
@@ -8,8 +8,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import mothcross.Director;
 import mothcross.membership.AgeLimits;
 import mothcross.membership.MembershipSnapshot;
@@ -27,6 +31,8 @@
     private static final double HOUR_MS = 3_600_000;
     private static final double CLOCK_SKEW_MS = 5000;
     private static final long SEVERAL_BOUND_CHECKS_MS = 1500;
+    /** The object and the time left of a lookup. */
+    private static final Pattern ARRIVAL = Pattern.compile(",asset=([0-9a-f]+),.*?patience=(\\d+)");
 
     /**
      * Age of the snapshot, whether lookups are handled while discovery is unavailable, and the node's state before and
@@ -120,8 +126,10 @@
             cutOff.stopAnsweringConnects();
             DirectorServer director = fleet.director("d1");
             List<FakeClients.Client> open = new ArrayList<>();
+            Map<Integer, Long> askedAt = new HashMap<>();
             for (int i = 0; i < 24; i++) {
                 open.add(new FakeClients.Client(director.port()));
+                askedAt.put(i, System.currentTimeMillis());
                 open.get(i).send(i, 10, 17);
             }
             Fleet.awaitTrue("hops out and waiting", () -> unresponsive.arrivalCount() > 0 && healthy.arrivalCount() > 0
@@ -133,18 +141,22 @@
             long event = fleet.discovery.sendPurge(17, at);
             fleet.discovery.startListening();
             Fleet.awaitTrue("event " + event, () -> Fleet.lastEvent(director) == event);
-            long drainedAt = System.nanoTime();
+            long drainedAt = System.currentTimeMillis();
             // Hops that waited for a connection to the second node were withdrawn and went elsewhere.
             Fleet.awaitTrue("a hop is withdrawn",
                 () -> counter(director, counters -> counters.outcomes[Director.NOT_SENT]) >= 1);
             unresponsive.setUnresponsive(false);
             try (FakeClients.Client client = new FakeClients.Client(director.port())) {
-                for (int i = 0; i < 40; i++) assertEquals(client.status(100 + i, 10, 17), 200);
+                for (int i = 100; i < 140; i++) {
+                    askedAt.put(i, System.currentTimeMillis());
+                    assertEquals(client.status(i, 10, 17), 200);
+                }
             }
             for (FakeNode.Arrival arrival : unresponsive.arrivals()) {
-                assertTrue(arrival.nano() < drainedAt, "sent after the drain: " + arrival.line());
+                assertFalse(sentAfter(drainedAt, arrival, askedAt), "sent after the drain: " + arrival.line());
             }
-            List<FakeNode.Arrival> after = healthy.arrivals().stream().filter(a -> a.nano() > drainedAt).toList();
+            List<FakeNode.Arrival> after =
+                healthy.arrivals().stream().filter(arrival -> sentAfter(drainedAt, arrival, askedAt)).toList();
             assertTrue(after.size() >= 40);
             for (FakeNode.Arrival arrival : after) {
                 assertTrue(arrival.line().contains(",fresh="), "a purge bounds ages: " + arrival.line());
@@ -153,6 +165,18 @@
         }
     }
 
+    /**
+     * Whether a lookup that arrived was sent after {@code time}, Unix ms. A request may be on its way for any time, so
+     * that it arrived later does not show it; what is left of its time when it is written does.
+     */
+    private static boolean sentAfter(long time, FakeNode.Arrival arrival, Map<Integer, Long> askedAt) {
+        Matcher fields = ARRIVAL.matcher(arrival.line());
+        assertTrue(fields.find(), arrival.line());
+        long asked = askedAt.get(Integer.parseInt(fields.group(1), 16));
+        long patienceMs = Long.parseLong(fields.group(2));
+        return asked + FakeClients.WAIT_MS - patienceMs >= time;
+    }
+
     private interface CounterReader {
         long of(Counters counters);
     }
--- a/src/test/java/mothcross/standin/FakeClients.java
+++ b/src/test/java/mothcross/standin/FakeClients.java
@@ -15,6 +15,8 @@
 public final class FakeClients implements AutoCloseable {
     private static final AtomicLong REQUEST_IDS = new AtomicLong(0x1000);
     private static final int GROUP = 3;
+    /** How long each request's client waits. */
+    public static final int WAIT_MS = 2900;
     private static final long AWAIT_TIMEOUT_NS = 20_000_000_000L;
     public final AtomicInteger asked = new AtomicInteger();
     public final AtomicInteger handled = new AtomicInteger();
@@ -85,8 +87,8 @@
         /** Sends a request without reading the answer. */
         public void send(int object, int kb, int group) throws IOException {
             String request = String.format("GET /api/v2/books/%08x HTTP/1.1\r\nHost: o\r\nReq-Id: %016x\r\n"
-                + "Req-Wait-Ms: 2900\r\nReq-Kb: %d\r\nX-Lot: %d\r\n%s\r\n", object, REQUEST_IDS.incrementAndGet(), kb,
-                group, header);
+                + "Req-Wait-Ms: %d\r\nReq-Kb: %d\r\nX-Lot: %d\r\n%s\r\n", object, REQUEST_IDS.incrementAndGet(),
+                WAIT_MS, kb, group, header);
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         }
 
