At the bound on sockets the next connection to discovery is due, not waited for

What callers would see: with discovery silent for some 16 s on 8 connections that are all dead, nothing more is opened, and it is never heard again. Found by reading the code before the landing.

Cause: at the bound DiscoverySupervisor.nextAdvanceAt was infinite, so that takeSurplus, which makes room, was not called when the next connection was due. DiscoverySupervisorTest asked the supervisor at every step and did not show it.

Change: it is due then, where one can be given up for it. The test asks the supervisor only when it wants to be asked and after events, as DiscoveryWatch does: 4 of 4 cases failed ("silent without a successor"), and pass.

--- a/src/main/java/mothcross/membership/DiscoverySupervisor.java
+++ b/src/main/java/mothcross/membership/DiscoverySupervisor.java
@@ -110,7 +110,8 @@
     /** When to ask again; infinite where that is after {@link #released}. */
     public double nextAdvanceAt() {
         if (openAt == Double.POSITIVE_INFINITY) return overdueAt();
-        return unreleased.size() >= MAX_SOCKETS ? Double.POSITIVE_INFINITY : openAt;
+        boolean socketFree = unreleased.size() < MAX_SOCKETS;
+        return socketFree || hasSurplus() ? openAt : Double.POSITIVE_INFINITY;
     }
 
     /** The delay after which the next connection is opened; meaningful where one is due. */
@@ -120,13 +121,18 @@
 
     /** The connections to be given up, since a further one is due and there is no socket for it. */
     public List<C> takeSurplus(double now) {
-        boolean needed = now >= openAt && unreleased.size() >= MAX_SOCKETS && feeds.size() == unreleased.size();
-        Feed surplus = needed ? mostRedundant(now) : null;
-        if (surplus == null) return List.of();
+        if (now < openAt || !hasSurplus()) return List.of();
+        Feed surplus = mostRedundant(now);
         feeds.remove(surplus);
         return List.of(surplus.connection);
     }
 
+    /** Whether there is no socket left, none is about to be released, and a connection can be given up for one. */
+    private boolean hasSurplus() {
+        boolean exhausted = unreleased.size() >= MAX_SOCKETS && feeds.size() == unreleased.size();
+        return exhausted && mostRedundant(Double.POSITIVE_INFINITY) != null;
+    }
+
     /** Whether the current address of discovery has brought a whole frame that is not overdue. */
     public boolean isHeard(double now) {
         return current().anyMatch(feed -> feed.state == State.HEARD && now < feed.overdueAt());
--- a/src/test/java/mothcross/membership/DiscoverySupervisorTest.java
+++ b/src/test/java/mothcross/membership/DiscoverySupervisorTest.java
@@ -53,6 +53,8 @@
         final double firstFrameMs;
         /** What is connected before that comes up and never brings anything. */
         final double outageUntil;
+        /** Whether something has happened since the supervisor was asked last; the start counts. */
+        boolean changed = true;
         /** From then on the connections that are up bring nothing more. */
         double silentFrom = NEVER;
         int address;
@@ -84,17 +86,20 @@
             heardAt = Double.NaN;
             lastProgressAt = now;
             supervisor.addressChanged(now);
+            changed = true;
         }
 
+        /** The supervisor is asked when it wants to be, and after each event. */
         private void step() {
             for (Link link : List.copyOf(links)) advance(link);
-            open();
+            if (changed || now >= supervisor.nextAdvanceAt()) open();
             // At the bound an attempt that can't be ended may have to be waited for.
             double waitMs = supervisor.nextAdvanceAt() == NEVER ? CONNECT_TIMEOUT_MS + ATTEMPT_MARGIN_MS : 0;
             assertTrue(now - lastProgressAt <= SUCCESSOR_WITHIN_MS + waitMs, "silent without a successor at " + now);
         }
 
         private void advance(Link link) {
+            if (!link.up && now >= Math.min(link.failsAt, link.upAt)) changed = true;
             if (!link.up && now >= link.failsAt) {
                 supervisor.ended(link, now);
                 release(link);
@@ -110,6 +115,7 @@
         }
 
         private void frame(Link link) {
+            changed = true;
             link.lastFrameAt = now;
             if (link.address == address) {
                 lastProgressAt = lastFrameAt = now;
@@ -127,6 +133,7 @@
         }
 
         private void open() {
+            changed = false;
             for (Link surplus : supervisor.takeSurplus(now)) {
                 assertEquals(links.size(), DiscoverySupervisor.MAX_SOCKETS, "given up only for want of sockets");
                 Link earliest = links.stream().filter(link -> link.address == address).findFirst().orElse(null);
